Add the design, the shared contracts and the wire between processes

Cause: the roles need one set of messages, types and interfaces before they can be built side by side. Conclusion: the roles can now be written against these contracts.

--- /dev/null
+++ b/src/common/Mailbox.ts
@@ -0,0 +1,45 @@
+import type { Disposable } from "./Disposable.js";
+
+/** Bounded message queue of one task; messages are handled one at a time, in order, never inside `post`. */
+export class Mailbox<M> implements Disposable {
+    private queue: M[] = [];
+    private scheduled = false;
+    private disposed = false;
+
+    constructor(
+        private readonly capacity: number,
+        private readonly handle: (message: M) => void,
+    ) {}
+
+    /** Queues a message; returns false when the mailbox is full or disposed, and the message was not taken. */
+    public post(message: M): boolean {
+        if (this.disposed || this.queue.length >= this.capacity) {
+            return false;
+        }
+        this.queue.push(message);
+        if (!this.scheduled) {
+            this.scheduled = true;
+            queueMicrotask(() => {
+                this.drain();
+            });
+        }
+        return true;
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.queue = [];
+    }
+
+    private drain(): void {
+        this.scheduled = false;
+        const batch = this.queue;
+        this.queue = [];
+        for (const message of batch) {
+            if (this.disposed) {
+                return;
+            }
+            this.handle(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/common/job/Answer.ts
@@ -0,0 +1,15 @@
+import type { FaultCode } from "../FaultCode.js";
+import type { Verdict } from "../Verdict.js";
+import type { JobState } from "./JobState.js";
+import type { TaskAnswer } from "./TaskAnswer.js";
+
+/** Answer to a job: complete with every output, or failed with a verdict for every task; never partial. */
+export interface Answer {
+    readonly ticket: string;
+    readonly state: JobState;
+    /** `ran` when every task ran, `not_run` when none was started, else `may_have_run`. */
+    readonly verdict: Verdict;
+    readonly reason?: { readonly code: FaultCode; readonly message: string; } | undefined;
+    /** Empty while the job is running. */
+    readonly tasks: readonly TaskAnswer[];
+}
--- /dev/null
+++ b/src/common/job/StoryEntry.ts
@@ -0,0 +1,14 @@
+/** One step in the story of a job, in the order in which its process saw them. */
+export interface StoryEntry {
+    /** Wall-clock time in milliseconds since the Unix epoch, for people only. */
+    readonly at: number;
+    /** Process that recorded the step. */
+    readonly source: string;
+    /** Number and text of the log event. */
+    readonly event: number;
+    readonly text: string;
+    readonly task?: number | undefined;
+    readonly attempt?: number | undefined;
+    readonly agent?: string | undefined;
+    readonly detail?: string | undefined;
+}
--- /dev/null
+++ b/src/common/log/RoarrLog.ts
@@ -0,0 +1,31 @@
+import { ROARR, Roarr } from "roarr";
+import type { Log } from "./Log.js";
+import type { LogEvent } from "./LogEvent.js";
+import type { LogFields } from "./LogFields.js";
+
+type Logger = typeof Roarr;
+
+/** Log that writes one JSON line per event to standard error through roarr. */
+export class RoarrLog implements Log {
+    private constructor(private readonly logger: Logger) {}
+
+    /** Creates the root log of a process and points roarr at standard error. */
+    public static create(fields: LogFields): RoarrLog {
+        ROARR.write = line => {
+            process.stderr.write(line + "\n");
+        };
+        return new RoarrLog(Roarr.child(toContext(fields)));
+    }
+
+    public write(event: LogEvent, fields: LogFields = {}): void {
+        this.logger[event.level]({ event: event.number, ...toContext(fields) }, event.text);
+    }
+
+    public child(fields: LogFields): Log {
+        return new RoarrLog(this.logger.child(toContext(fields)));
+    }
+}
+
+function toContext(fields: LogFields): Parameters<Logger["child"]>[0] & object {
+    return fields as Parameters<Logger["child"]>[0] & object;
+}
--- /dev/null
+++ b/src/common/settings/parseSettings.ts
@@ -0,0 +1,28 @@
+import { type Either, Left, Right } from "purify-ts/Either";
+import * as z from "zod/mini";
+
+z.config(z.locales.en());
+
+/** Checks JSON text against `schema`; the fault list has one line per fault with its path and the expected value. */
+export function parseSettings<T extends z.ZodMiniType>(
+    schema: T,
+    text: string,
+): Either<readonly string[], z.infer<T>> {
+    let value: unknown;
+    try {
+        value = JSON.parse(text);
+    }
+    catch (error) {
+        return Left([`settings are not valid JSON: ${(error as Error).message}`]);
+    }
+    const result = schema.safeParse(value);
+    if (result.success) {
+        return Right(result.data);
+    }
+    return Left(result.error.issues.map(issue => `${pathOf(issue.path)}: ${issue.message}`));
+}
+
+function pathOf(path: readonly PropertyKey[]): string {
+    const text = path.map(part => typeof part === "number" ? `[${part}]` : `.${String(part)}`).join("");
+    return text === "" ? "(root)" : text.replace(/^\./, "");
+}
--- /dev/null
+++ b/src/common/wire/Connection.ts
@@ -0,0 +1,235 @@
+import { createHmac, timingSafeEqual } from "node:crypto";
+import type { Socket } from "node:net";
+import { Emitter } from "../Emitter.js";
+import type { Event } from "../Event.js";
+import { Fault } from "../Fault.js";
+import { FaultCode } from "../FaultCode.js";
+import type { Log } from "../log/Log.js";
+import { WireEvent } from "../log/WireEvent.js";
+import type { Channel } from "./Channel.js";
+import { decodeMessage } from "./decodeMessage.js";
+import { FrameCodec } from "./FrameCodec.js";
+import type { Hello } from "./Hello.js";
+import type { Identity } from "./Identity.js";
+import type { Message } from "./Message.js";
+import { WIRE_VERSION } from "./WIRE_VERSION.js";
+
+/** Most bytes that may wait for a slow peer. */
+const MAX_SEND_QUEUE_BYTES = 8 * 1024 * 1024;
+
+const HANDSHAKE_TIMEOUT_MS = 3000;
+
+/** Task that owns one socket: frames, handshake and bounded send queue of a message channel. */
+export class Connection implements Channel {
+    private readonly codec = new FrameCodec();
+    private readonly messages = new Emitter<Message>();
+    private readonly closes = new Emitter<string>();
+    private remote: Identity | undefined;
+    private closed = false;
+    private corked = false;
+    private listening = false;
+    private inbox: Message[] = [];
+
+    /** Messages that arrive before the first listener wait for it. */
+    public readonly onMessage: Event<Message> = listener => {
+        const registration = this.messages.event(listener);
+        if (!this.listening) {
+            this.listening = true;
+            queueMicrotask(() => {
+                this.deliver();
+            });
+        }
+        return registration;
+    };
+
+    public readonly onClose = this.closes.event;
+
+    private constructor(
+        private readonly socket: Socket,
+        private readonly secret: string,
+        private readonly log: Log,
+    ) {
+        socket.setNoDelay(true);
+        socket.on("error", error => {
+            this.finish(error.message);
+        });
+        socket.on("close", () => {
+            this.finish("closed by peer");
+        });
+    }
+
+    /** Exchanges `hello` on a connected socket; rejects with a fault and destroys the socket when that fails. */
+    public static open(socket: Socket, identity: Identity, secret: string, log: Log): Promise<Connection> {
+        const connection = new Connection(socket, secret, log);
+        return connection.handshake(identity);
+    }
+
+    public get peer(): Identity {
+        if (this.remote === undefined) {
+            throw new Error("connection has no peer before its handshake");
+        }
+        return this.remote;
+    }
+
+    public get open(): boolean {
+        return !this.closed;
+    }
+
+    public send(message: Message): boolean {
+        if (this.closed) {
+            return false;
+        }
+        if (this.socket.writableLength > MAX_SEND_QUEUE_BYTES) {
+            this.log.write(WireEvent.SendQueueFull, { peer: this.remote?.id, bytes: this.socket.writableLength });
+            this.abort("send queue over its limit");
+            return false;
+        }
+        this.corkForThisTurn();
+        this.socket.write(FrameCodec.encode(message));
+        return true;
+    }
+
+    public close(reason: string): void {
+        if (this.closed) {
+            return;
+        }
+        this.send({ kind: "goodbye", reason });
+        this.socket.end();
+        this.finish(reason);
+    }
+
+    /** Closes without flushing, for a peer that is malformed or dead. */
+    public abort(reason: string): void {
+        this.socket.destroy();
+        this.finish(reason);
+    }
+
+    public dispose(): void {
+        this.abort("disposed");
+    }
+
+    /** Collects the frames written in one turn of the event loop into one packet. */
+    private corkForThisTurn(): void {
+        if (this.corked) {
+            return;
+        }
+        this.corked = true;
+        this.socket.cork();
+        queueMicrotask(() => {
+            process.nextTick(() => {
+                this.corked = false;
+                this.socket.uncork();
+            });
+        });
+    }
+
+    private handshake(identity: Identity): Promise<Connection> {
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => {
+                this.abort("handshake timed out");
+            }, HANDSHAKE_TIMEOUT_MS);
+            const failed = this.onClose(reason => {
+                clearTimeout(timer);
+                reject(new Fault(FaultCode.Protocol, `handshake failed: ${reason}`));
+            });
+            this.socket.on("data", (chunk: Buffer) => {
+                this.receive(chunk, () => {
+                    clearTimeout(timer);
+                    failed.dispose();
+                    this.log.write(WireEvent.ConnectionOpened, { peer: this.remote?.id });
+                    resolve(this);
+                });
+            });
+            this.send(this.createHello(identity));
+        });
+    }
+
+    private receive(chunk: Buffer, onHello: () => void): void {
+        try {
+            for (const value of this.codec.push(chunk)) {
+                this.accept(value, onHello);
+            }
+        }
+        catch (error) {
+            const reason = error instanceof Error ? error.message : String(error);
+            this.log.write(WireEvent.MalformedInput, { peer: this.remote?.id, reason });
+            this.abort(reason);
+        }
+    }
+
+    private accept(value: unknown, onHello: () => void): void {
+        if (this.closed) {
+            return;
+        }
+        const message = decodeMessage(value).caseOf({
+            Left: fault => {
+                throw fault;
+            },
+            Right: valid => valid,
+        });
+        if (this.remote === undefined) {
+            this.acceptHello(message);
+            onHello();
+        }
+        else if (message.kind === "goodbye") {
+            this.socket.end();
+            this.finish(message.reason);
+        }
+        else {
+            this.inbox.push(message);
+            this.deliver();
+        }
+    }
+
+    private deliver(): void {
+        while (this.listening && !this.closed) {
+            const message = this.inbox.shift();
+            if (message === undefined) {
+                return;
+            }
+            this.messages.fire(message);
+        }
+    }
+
+    private acceptHello(message: Message): void {
+        if (message.kind !== "hello") {
+            throw new Fault(FaultCode.Protocol, `first message is ${message.kind}, expected hello`);
+        }
+        if (message.version !== WIRE_VERSION) {
+            throw new Fault(FaultCode.Protocol, `protocol version ${message.version}, expected ${WIRE_VERSION}`);
+        }
+        if (!equalStrings(message.proof, this.prove(message))) {
+            this.log.write(WireEvent.HandshakeRejected, { peer: message.id, address: message.address });
+            throw new Fault(FaultCode.Unauthorized, "peer does not know the deployment's secret");
+        }
+        const { role, id, incarnation, region, failureDomain, address } = message;
+        this.remote = { role, id, incarnation, region, failureDomain, address };
+    }
+
+    private createHello(identity: Identity): Hello {
+        return { kind: "hello", version: WIRE_VERSION, ...identity, proof: this.prove(identity) };
+    }
+
+    private prove(identity: Identity): string {
+        const { role, id, incarnation, region, failureDomain, address } = identity;
+        const text = JSON.stringify([role, id, incarnation, region, failureDomain, address]);
+        return createHmac("sha256", this.secret).update(text).digest("base64url");
+    }
+
+    private finish(reason: string): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        this.log.write(WireEvent.ConnectionClosed, { peer: this.remote?.id, reason });
+        this.closes.fire(reason);
+        this.messages.dispose();
+        this.closes.dispose();
+    }
+}
+
+function equalStrings(a: string, b: string): boolean {
+    const left = Buffer.from(a);
+    const right = Buffer.from(b);
+    return left.length === right.length && timingSafeEqual(left, right);
+}
--- /dev/null
+++ b/src/common/wire/FrameCodec.ts
@@ -0,0 +1,79 @@
+import { decode, encode } from "cbor-x";
+import { Fault } from "../Fault.js";
+import { FaultCode } from "../FaultCode.js";
+
+const LENGTH_BYTES = 4;
+
+/** Largest body of a frame in bytes. */
+const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+/** Splits a byte stream into frames (4-byte big-endian length, CBOR body) and encodes values as frames. */
+export class FrameCodec {
+    private chunks: Buffer[] = [];
+    private buffered = 0;
+
+    /** Returns `value` as one frame; throws a `too_large` fault when it exceeds the frame limit. */
+    public static encode(value: unknown): Buffer {
+        const body = encode(value);
+        if (body.length > MAX_FRAME_BYTES) {
+            throw new Fault(FaultCode.TooLarge, `frame of ${body.length} bytes exceeds ${MAX_FRAME_BYTES} bytes`);
+        }
+        const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+        frame.writeUInt32BE(body.length, 0);
+        body.copy(frame, LENGTH_BYTES);
+        return frame;
+    }
+
+    /** Takes received bytes and returns the values now complete; throws a `protocol` fault on malformed input. */
+    public push(chunk: Buffer): unknown[] {
+        this.chunks.push(chunk);
+        this.buffered += chunk.length;
+        const values: unknown[] = [];
+        for (let body = this.takeBody(); body !== undefined; body = this.takeBody()) {
+            values.push(decodeBody(body));
+        }
+        return values;
+    }
+
+    private takeBody(): Buffer | undefined {
+        if (this.buffered < LENGTH_BYTES) {
+            return undefined;
+        }
+        const length = this.peekLength();
+        if (length > MAX_FRAME_BYTES) {
+            throw new Fault(FaultCode.Protocol, `frame of ${length} bytes exceeds ${MAX_FRAME_BYTES} bytes`);
+        }
+        if (this.buffered < LENGTH_BYTES + length) {
+            return undefined;
+        }
+        const bytes = this.joined();
+        const end = LENGTH_BYTES + length;
+        this.chunks = end < bytes.length ? [bytes.subarray(end)] : [];
+        this.buffered -= end;
+        return bytes.subarray(LENGTH_BYTES, end);
+    }
+
+    private peekLength(): number {
+        const first = this.chunks[0];
+        return first !== undefined && first.length >= LENGTH_BYTES
+            ? first.readUInt32BE(0)
+            : this.joined().readUInt32BE(0);
+    }
+
+    private joined(): Buffer {
+        const bytes = this.chunks.length === 1 && this.chunks[0] !== undefined
+            ? this.chunks[0]
+            : Buffer.concat(this.chunks);
+        this.chunks = [bytes];
+        return bytes;
+    }
+}
+
+function decodeBody(body: Buffer): unknown {
+    try {
+        return decode(body);
+    }
+    catch {
+        throw new Fault(FaultCode.Protocol, "frame body is not valid CBOR");
+    }
+}
--- /dev/null
+++ b/src/common/wire/Listener.ts
@@ -0,0 +1,75 @@
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { Disposable } from "../Disposable.js";
+import { Emitter } from "../Emitter.js";
+import type { Log } from "../log/Log.js";
+import { WireEvent } from "../log/WireEvent.js";
+import type { Channel } from "./Channel.js";
+import { Connection } from "./Connection.js";
+import type { Identity } from "./Identity.js";
+
+/** Accepts connections from other processes and completes their handshakes. */
+export class Listener implements Disposable {
+    private readonly channels = new Emitter<Channel>();
+    private readonly sockets = new Set<Socket>();
+
+    /** Fires with each channel after its handshake. */
+    public readonly onChannel = this.channels.event;
+
+    private constructor(
+        private readonly server: Server,
+        private readonly identity: () => Identity,
+        private readonly secret: string,
+        private readonly log: Log,
+        maxConnections: number,
+    ) {
+        server.maxConnections = maxConnections;
+        server.on("connection", socket => {
+            this.accept(socket);
+        });
+    }
+
+    /** Listens on `host:port`; port 0 takes a free one. `identity` is asked at each handshake. */
+    public static async listen(
+        options: {
+            readonly host: string;
+            readonly port: number;
+            readonly maxConnections: number;
+            readonly identity: () => Identity;
+            readonly secret: string;
+            readonly log: Log;
+        },
+    ): Promise<Listener> {
+        const server = createServer();
+        const listener = new Listener(server, options.identity, options.secret, options.log, options.maxConnections);
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(options.port, options.host, resolve);
+        });
+        return listener;
+    }
+
+    public get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    public dispose(): void {
+        this.server.close();
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+        this.channels.dispose();
+    }
+
+    private accept(socket: Socket): void {
+        this.sockets.add(socket);
+        socket.once("close", () => this.sockets.delete(socket));
+        Connection.open(socket, this.identity(), this.secret, this.log).then(
+            channel => {
+                this.channels.fire(channel);
+            },
+            (error: unknown) => {
+                this.log.write(WireEvent.HandshakeRejected, { reason: String(error) });
+            },
+        );
+    }
+}
--- /dev/null
+++ b/src/common/wire/Member.ts
@@ -0,0 +1,12 @@
+/** Row of an entry in the member table, as gossiped between entries and sent to agents. */
+export interface Member {
+    readonly id: string;
+    /** `ip:port` of the entry's listener. */
+    readonly address: string;
+    readonly incarnation: string;
+    readonly region: string;
+    readonly failureDomain: string;
+    /** Grows with each heartbeat; a row with a higher counter replaces one with a lower counter. */
+    readonly counter: number;
+    readonly draining: boolean;
+}
--- /dev/null
+++ b/src/entry/policy/Assignment.ts
@@ -0,0 +1,9 @@
+import type { QueuedTask } from "./QueuedTask.js";
+
+/** Decision to start a task on an agent now. */
+export interface Assignment {
+    readonly task: QueuedTask;
+    readonly agent: string;
+    /** Short text for the decision's log line, such as `fastest of 7 free`. */
+    readonly reason: string;
+}
--- /dev/null
+++ b/src/entry/policy/Disposition.ts
@@ -0,0 +1,9 @@
+/** What becomes of a task after an attempt has ended. */
+export const Disposition = {
+    /** The attempt's result is the task's result. */
+    Final: "final",
+    /** The scheduler has queued the task again, with the next attempt number. */
+    Requeued: "requeued",
+} as const;
+
+export type Disposition = typeof Disposition[keyof typeof Disposition];
--- /dev/null
+++ b/src/entry/policy/ScheduledJob.ts
@@ -0,0 +1,11 @@
+import type { QueuedTask } from "./QueuedTask.js";
+
+/** Whole job offered to the scheduler. */
+export interface ScheduledJob {
+    readonly job: string;
+    readonly team: string;
+    readonly deadlineAt: number;
+    /** Ids of the agents that may run its tasks. */
+    readonly agents: ReadonlySet<string>;
+    readonly tasks: readonly QueuedTask[];
+}
