--- /dev/null
+++ b/src/common/SystemRandom.ts
@@ -0,0 +1,8 @@
+import type { Random } from "./Random.js";
+
+/** Random numbers of the JavaScript engine. */
+export class SystemRandom implements Random {
+    public next(): number {
+        return Math.random();
+    }
+}
--- a/src/common/wire/Member.ts
+++ b/src/common/wire/Member.ts
@@ -9,4 +9,6 @@
     /** Grows with each heartbeat; a row with a higher counter replaces one with a lower counter. */
     readonly counter: number;
     readonly draining: boolean;
+    /** Configuration revision in force at this entry, 0 for none. */
+    readonly revision: number;
 }
--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -128,10 +128,15 @@
 interface Members {
     readonly kind: "members";
     readonly rows: readonly Member[];
-    readonly revision: number;
 }
 
-/** Entry to entry or agent: configuration sections, each with its own revision. */
+/** Either side: asks for the configuration sections that were changed after document revision `since`. */
+interface Pull {
+    readonly kind: "pull";
+    readonly since: number;
+}
+
+/** Answer to `pull`, and entry to agent after a change. A section's revision is the document revision of its last change. */
 interface Configuration {
     readonly kind: "configuration";
     readonly revision: number;
@@ -191,6 +196,7 @@
     | Heartbeat
     | Drain
     | Members
+    | Pull
     | Configuration
     | Call
     | Reply
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -51,6 +51,7 @@
     failureDomain: isString,
     counter: isCount,
     draining: isBoolean,
+    revision: isCount,
 });
 
 /** Field checks of each message kind. */
@@ -84,7 +85,8 @@
     fenced: { issuer: isString },
     heartbeat: { load: isCount, revision: isCount },
     drain: { reason: isString },
-    members: { rows: listOf(MEMBER), revision: isCount },
+    members: { rows: listOf(MEMBER) },
+    pull: { since: isCount },
     configuration: {
         revision: isCount,
         sections: listOf(shapeOf({ team: isString, revision: isCount, body: isAnything })),
