Add the load plan, the ideal queue and the evaluation of load runs

Cause: the policies are to be judged by response over ideal, service in a demand peak and waiting of short tasks. Change: src/bench plans seeded arrivals for both profiles, works out the ideal by a central queue in virtual time, and judges a run against the stated targets; connections count sent messages by kind; StatsD counters are added up for 1 s. Trials of the plan only; no run against processes yet.

--- /dev/null
+++ b/src/bench/Execution.ts
@@ -0,0 +1,7 @@
+/** Run of one task as its endpoint reported it. */
+export interface Execution {
+    readonly task: number;
+    /** Wall-clock start in milliseconds since the Unix epoch. */
+    readonly startedAt: number;
+    readonly runMs: number;
+}
--- /dev/null
+++ b/src/bench/IdealQueue.ts
@@ -0,0 +1,111 @@
+import { Discipline } from "./Discipline.js";
+import type { PlannedJob } from "./PlannedJob.js";
+import type { Profile } from "./Profile.js";
+
+interface OpenJob {
+    readonly job: PlannedJob;
+    /** Waiting tasks by run time, longest first. */
+    readonly waiting: number[];
+    remainingMs: number;
+    unfinished: number;
+}
+
+interface Running {
+    readonly endsAt: number;
+    readonly slot: Slot;
+    readonly job: OpenJob;
+}
+
+interface Slot {
+    readonly speed: number;
+}
+
+/**
+ * Central queue in virtual time that knows every run time and costs nothing: the waiting job that comes first in the
+ * discipline gives its longest task to the fastest free slot. It never preempts, as the dispatcher does not either.
+ */
+export class IdealQueue {
+    private readonly free: Slot[];
+    private readonly running: Running[] = [];
+    private readonly open = new Set<OpenJob>();
+    private readonly responses = new Map<number, number>();
+
+    constructor(profile: Profile, private readonly discipline: Discipline) {
+        this.free = profile.workers
+            .flatMap(worker => Array.from({ length: worker.slots }, () => ({ speed: worker.speed })))
+            .sort((a, b) => a.speed - b.speed);
+    }
+
+    /** Returns the response time in milliseconds of each job by its index. */
+    public run(jobs: readonly PlannedJob[]): ReadonlyMap<number, number> {
+        for (const job of jobs) {
+            this.finishUntil(job.at);
+            this.arrive(job);
+            this.startAll(job.at);
+        }
+        this.finishUntil(Infinity);
+        return this.responses;
+    }
+
+    private arrive(job: PlannedJob): void {
+        const waiting = job.tasks.map(task => task.runMs).sort((a, b) => a - b);
+        const remainingMs = waiting.reduce((sum, ms) => sum + ms, 0);
+        this.open.add({ job, waiting, remainingMs, unfinished: waiting.length });
+    }
+
+    private finishUntil(time: number): void {
+        for (let next = this.running[0]; next !== undefined && next.endsAt <= time; next = this.running[0]) {
+            this.running.shift();
+            this.release(next.slot);
+            this.finishTask(next);
+            this.startAll(next.endsAt);
+        }
+    }
+
+    private finishTask({ job, endsAt }: Running): void {
+        job.unfinished -= 1;
+        if (job.unfinished === 0) {
+            this.open.delete(job);
+            this.responses.set(job.job.index, endsAt - job.job.at);
+        }
+    }
+
+    private startAll(time: number): void {
+        while (this.free.length > 0) {
+            const job = this.nextJob();
+            const runMs = job?.waiting.pop();
+            const slot = job === undefined ? undefined : this.free.pop();
+            if (job === undefined || runMs === undefined || slot === undefined) {
+                return;
+            }
+            job.remainingMs -= runMs;
+            this.insertRunning({ endsAt: time + runMs / slot.speed, slot, job });
+        }
+    }
+
+    private nextJob(): OpenJob | undefined {
+        let best: OpenJob | undefined;
+        for (const job of this.open) {
+            if (job.waiting.length === 0) {
+                continue;
+            }
+            const isFirst = best === undefined;
+            const isBetter = this.discipline === Discipline.LeastRemaining
+                && job.remainingMs < (best?.remainingMs ?? Infinity);
+            if (isFirst || isBetter) {
+                best = job;
+            }
+        }
+        return best;
+    }
+
+    private release(slot: Slot): void {
+        const position = this.free.findIndex(other => other.speed >= slot.speed);
+        this.free.splice(position < 0 ? this.free.length : position, 0, slot);
+    }
+
+    private insertRunning(entry: Running): void {
+        const position = this.running.findIndex(other => other.endsAt > entry.endsAt);
+        this.running.splice(position < 0 ? this.running.length : position, 0, entry);
+    }
+}
--- /dev/null
+++ b/src/bench/JobClass.ts
@@ -0,0 +1,13 @@
+/** Class of a job in the reports. */
+export const JobClass = {
+    /** One task of at most 100 ms. */
+    ShortSingle: "short single",
+    /** One longer task. */
+    Single: "single",
+    /** 2 to 20 tasks. */
+    Small: "small",
+    /** 21 to 400 tasks. */
+    Large: "large",
+} as const;
+
+export type JobClass = typeof JobClass[keyof typeof JobClass];
--- /dev/null
+++ b/src/bench/LoadClient.ts
@@ -0,0 +1,161 @@
+import { Agent, request } from "undici";
+import type { Answer } from "../common/job/Answer.js";
+import { JobState } from "../common/job/JobState.js";
+import { Verdict } from "../common/Verdict.js";
+import type { Execution } from "./Execution.js";
+import { JobOutcome } from "./JobOutcome.js";
+import type { JobResult } from "./JobResult.js";
+import type { LoadTarget } from "./LoadTarget.js";
+import type { PlannedJob } from "./PlannedJob.js";
+
+const TICKET_BATCH = 100;
+const MAX_RESUBMISSIONS = 5;
+const RESUBMISSION_PAUSE_MS = 200;
+
+/** Time after the deadline in which an answer still counts as given. */
+const GRACE_MS = 5000;
+
+interface HttpReply {
+    readonly status: number;
+    readonly body: unknown;
+}
+
+type Ending = Pick<JobResult, "outcome" | "code" | "resubmissions" | "verdicts" | "executions">;
+
+/** Caller of a load run: fetches tickets ahead, submits jobs through all entries in turn, resubmits when one dies. */
+export class LoadClient {
+    private readonly dispatcher = new Agent({ connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+    private readonly tickets = new Map<string, string[]>();
+    private readonly fetches = new Map<string, Promise<void>>();
+    private turn = 0;
+
+    constructor(private readonly target: LoadTarget) {}
+
+    /** Sends a job whose planned arrival was `arrivedAt` on the `performance.now()` scale. */
+    public async submit(job: PlannedJob, arrivedAt: number, deadlineMs: number): Promise<JobResult> {
+        const sentAt = performance.now();
+        const ending = await this.run(job, deadlineMs);
+        const answeredAt = performance.now();
+        return {
+            job,
+            ...ending,
+            responseMs: answeredAt - arrivedAt,
+            answerMs: answeredAt - sentAt,
+            lagMs: sentAt - arrivedAt,
+        };
+    }
+
+    /** Fetches the first tickets of each team, so that the first jobs do not pay for it. */
+    public async prepare(): Promise<void> {
+        await Promise.all([...this.target.tokens.keys()].map(team => this.fetchTickets(team)));
+    }
+
+    public async close(): Promise<void> {
+        await this.dispatcher.destroy();
+    }
+
+    private async run(job: PlannedJob, deadlineMs: number): Promise<Ending> {
+        const giveUpAt = performance.now() + deadlineMs + GRACE_MS;
+        let resubmissions = 0;
+        let ticket: string | undefined;
+        while (performance.now() < giveUpAt && resubmissions <= MAX_RESUBMISSIONS) {
+            try {
+                ticket ??= await this.takeTicket(job.team);
+                const reply = await this.post(job.team, "/v1/jobs", this.bodyOf(job, ticket, deadlineMs), giveUpAt);
+                return toEnding(reply, resubmissions);
+            }
+            catch {
+                resubmissions += 1;
+                await new Promise(resolve => setTimeout(resolve, RESUBMISSION_PAUSE_MS));
+            }
+        }
+        return { outcome: JobOutcome.Lost, code: undefined, resubmissions, verdicts: [], executions: [] };
+    }
+
+    private bodyOf(job: PlannedJob, ticket: string, deadlineMs: number): unknown {
+        return {
+            ticket,
+            service: this.target.service,
+            deadlineMs,
+            wait: true,
+            tasks: job.tasks.map(task => ({
+                payload: { runMs: task.runMs },
+                sizeMs: task.declaredMs,
+                repeatable: task.repeatable,
+            })),
+        };
+    }
+
+    private async takeTicket(team: string): Promise<string> {
+        const stock = this.tickets.get(team) ?? [];
+        if (stock.length < TICKET_BATCH / 2) {
+            const fetched = this.fetchTickets(team);
+            if (stock.length === 0) {
+                await fetched;
+            }
+            else {
+                fetched.catch(() => undefined);
+            }
+        }
+        const ticket = this.tickets.get(team)?.shift();
+        if (ticket === undefined) {
+            throw new Error("no ticket to be had");
+        }
+        return ticket;
+    }
+
+    private fetchTickets(team: string): Promise<void> {
+        const pending = this.fetches.get(team);
+        if (pending !== undefined) {
+            return pending;
+        }
+        const fetched = this.requestTickets(team).finally(() => this.fetches.delete(team));
+        this.fetches.set(team, fetched);
+        return fetched;
+    }
+
+    private async requestTickets(team: string): Promise<void> {
+        const body = { service: this.target.service, count: TICKET_BATCH };
+        const reply = await this.post(team, "/v1/tickets", body, performance.now() + GRACE_MS);
+        const { tickets } = reply.body as { readonly tickets?: readonly string[]; };
+        if (tickets === undefined) {
+            throw new Error(`tickets refused with status ${reply.status}`);
+        }
+        // Older tickets name agents that may be gone, so a new batch replaces what is left of the last one.
+        this.tickets.set(team, [...tickets]);
+    }
+
+    private async post(team: string, path: string, body: unknown, giveUpAt: number): Promise<HttpReply> {
+        this.turn += 1;
+        const entry = this.target.entries[this.turn % this.target.entries.length] ?? "";
+        const response = await request(entry + path, {
+            dispatcher: this.dispatcher,
+            method: "POST",
+            headers: {
+                "content-type": "application/json",
+                "authorization": `Bearer ${this.target.tokens.get(team) ?? ""}`,
+            },
+            body: JSON.stringify(body),
+            signal: AbortSignal.timeout(Math.max(1, giveUpAt - performance.now())),
+        });
+        return { status: response.statusCode, body: await response.body.json() };
+    }
+}
+
+function toEnding(reply: HttpReply, resubmissions: number): Ending {
+    const answer = reply.body as Answer & { readonly error?: { readonly code: string; }; };
+    if (answer.error !== undefined) {
+        const refused = answer.verdict === Verdict.NotRun;
+        const outcome = refused ? JobOutcome.Refused : JobOutcome.Failed;
+        return { outcome, code: answer.error.code, resubmissions, verdicts: [], executions: [] };
+    }
+    if (answer.state === JobState.Complete) {
+        const executions = answer.tasks.map(task => ({
+            task: task.index,
+            ...(task.output as Omit<Execution, "task">),
+        }));
+        return { outcome: JobOutcome.Complete, code: undefined, resubmissions, verdicts: [], executions };
+    }
+    const verdicts = answer.tasks.map(task => task.verdict);
+    return { outcome: JobOutcome.Failed, code: answer.reason?.code, resubmissions, verdicts, executions: [] };
+}
--- /dev/null
+++ b/src/bench/LoadTarget.ts
@@ -0,0 +1,8 @@
+/** Running dispatcher that a load run talks to. */
+export interface LoadTarget {
+    readonly service: string;
+    /** Base URLs of the entries. */
+    readonly entries: readonly string[];
+    /** Caller token of each team. */
+    readonly tokens: ReadonlyMap<string, string>;
+}
--- a/src/common/StatsdMetrics.ts
+++ b/src/common/StatsdMetrics.ts
@@ -3,9 +3,14 @@
 
 const METRIC_PREFIX = "waxwingshunt.";
 
+/** Counters are added up for this long before they are sent, so that a busy process sends few datagrams. */
+const FLUSH_INTERVAL_MS = 1000;
+
 /** Metrics sent as StatsD datagrams by hot-shots. */
 export class StatsdMetrics implements Metrics {
     private readonly client: StatsD;
+    private readonly counts = new Map<string, number>();
+    private readonly timer: NodeJS.Timeout;
 
     constructor(host: string, port: number, tags: readonly string[]) {
         this.client = new StatsD({
@@ -15,10 +20,14 @@
             globalTags: [...tags],
             errorHandler: () => undefined,
         });
+        this.timer = setInterval(() => {
+            this.flush();
+        }, FLUSH_INTERVAL_MS);
+        this.timer.unref();
     }
 
     public increment(name: string, by = 1): void {
-        this.client.increment(name, by);
+        this.counts.set(name, (this.counts.get(name) ?? 0) + by);
     }
 
     public gauge(name: string, value: number): void {
@@ -30,6 +39,15 @@
     }
 
     public close(): void {
+        clearInterval(this.timer);
+        this.flush();
         this.client.close(() => undefined);
     }
+
+    private flush(): void {
+        for (const [name, count] of this.counts) {
+            this.client.increment(name, count);
+        }
+        this.counts.clear();
+    }
 }
--- a/src/common/wire/Connection.ts
+++ b/src/common/wire/Connection.ts
@@ -6,6 +6,8 @@
 import { FaultCode } from "../FaultCode.js";
 import type { Log } from "../log/Log.js";
 import { WireEvent } from "../log/WireEvent.js";
+import type { Metrics } from "../Metrics.js";
+import { NoMetrics } from "../NoMetrics.js";
 import type { Channel } from "./Channel.js";
 import { decodeMessage } from "./decodeMessage.js";
 import { FrameCodec } from "./FrameCodec.js";
@@ -48,6 +50,7 @@
         private readonly socket: Socket,
         private readonly secret: string,
         private readonly log: Log,
+        private readonly metrics: Metrics,
     ) {
         socket.setNoDelay(true);
         socket.on("error", error => {
@@ -59,8 +62,14 @@
     }
 
     /** Exchanges `hello` on a connected socket; rejects with a fault and destroys the socket when that fails. */
-    public static open(socket: Socket, identity: Identity, secret: string, log: Log): Promise<Connection> {
-        const connection = new Connection(socket, secret, log);
+    public static open(
+        socket: Socket,
+        identity: Identity,
+        secret: string,
+        log: Log,
+        metrics: Metrics = new NoMetrics(),
+    ): Promise<Connection> {
+        const connection = new Connection(socket, secret, log, metrics);
         return connection.handshake(identity);
     }
 
@@ -86,6 +95,7 @@
         }
         this.corkForThisTurn();
         this.socket.write(FrameCodec.encode(message));
+        this.metrics.increment(`wire.sent.${message.kind}`);
         return true;
     }
 
--- a/src/common/wire/Listener.ts
+++ b/src/common/wire/Listener.ts
@@ -3,6 +3,7 @@
 import { Emitter } from "../Emitter.js";
 import type { Log } from "../log/Log.js";
 import { WireEvent } from "../log/WireEvent.js";
+import type { Metrics } from "../Metrics.js";
 import type { Channel } from "./Channel.js";
 import { Connection } from "./Connection.js";
 import type { Identity } from "./Identity.js";
@@ -20,6 +21,7 @@
         private readonly identity: () => Identity,
         private readonly secret: string,
         private readonly log: Log,
+        private readonly metrics: Metrics | undefined,
         maxConnections: number,
     ) {
         server.maxConnections = maxConnections;
@@ -37,10 +39,18 @@
             readonly identity: () => Identity;
             readonly secret: string;
             readonly log: Log;
+            readonly metrics?: Metrics | undefined;
         },
     ): Promise<Listener> {
         const server = createServer();
-        const listener = new Listener(server, options.identity, options.secret, options.log, options.maxConnections);
+        const listener = new Listener(
+            server,
+            options.identity,
+            options.secret,
+            options.log,
+            options.metrics,
+            options.maxConnections,
+        );
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
             server.listen(options.port, options.host, resolve);
@@ -63,7 +73,7 @@
     private accept(socket: Socket): void {
         this.sockets.add(socket);
         socket.once("close", () => this.sockets.delete(socket));
-        Connection.open(socket, this.identity(), this.secret, this.log).then(
+        Connection.open(socket, this.identity(), this.secret, this.log, this.metrics).then(
             channel => {
                 this.channels.fire(channel);
             },
--- a/src/common/wire/dial.ts
+++ b/src/common/wire/dial.ts
@@ -2,13 +2,20 @@
 import { Fault } from "../Fault.js";
 import { FaultCode } from "../FaultCode.js";
 import type { Log } from "../log/Log.js";
+import type { Metrics } from "../Metrics.js";
 import { Connection } from "./Connection.js";
 import type { Identity } from "./Identity.js";
 
 const CONNECT_TIMEOUT_MS = 2000;
 
 /** Connects to `ip:port` and completes the handshake; rejects with a fault when either fails. */
-export function dial(address: string, identity: Identity, secret: string, log: Log): Promise<Connection> {
+export function dial(
+    address: string,
+    identity: Identity,
+    secret: string,
+    log: Log,
+    metrics?: Metrics,
+): Promise<Connection> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
     const port = Number(address.slice(separator + 1));
@@ -25,7 +32,7 @@
         socket.once("connect", () => {
             clearTimeout(timer);
             socket.off("error", onError);
-            Connection.open(socket, identity, secret, log).then(resolve, reject);
+            Connection.open(socket, identity, secret, log, metrics).then(resolve, reject);
         });
     });
 }
