--- /dev/null
+++ b/src/entry/policy/Agents.ts
@@ -0,0 +1,101 @@
+import type { AgentEntry } from "./AgentEntry.js";
+import type { AgentProfile } from "./AgentProfile.js";
+import type { Health } from "./Health.js";
+import type { TaskGroup } from "./TaskGroup.js";
+
+/** Agents of the service with their credits. A ticket names at most 64 agents, so scans over a group are short. */
+export class Agents {
+    private readonly agents = new Map<string, AgentEntry>();
+    private members = new WeakMap<TaskGroup, readonly AgentEntry[]>();
+    private credits = 0;
+
+    constructor(private readonly health: Health) {}
+
+    /** Unused credits of all agents. */
+    public get free(): number {
+        return this.credits;
+    }
+
+    public get(id: string): AgentEntry | undefined {
+        return this.agents.get(id);
+    }
+
+    public all(): Iterable<AgentEntry> {
+        return this.agents.values();
+    }
+
+    public add(profile: AgentProfile): void {
+        this.remove(profile.id);
+        const agent = { profile, credits: 0, running: 0, draining: false, refusals: 0, restsUntil: 0 };
+        this.agents.set(profile.id, agent);
+        this.members = new WeakMap();
+        this.health.add(profile.id);
+    }
+
+    public remove(id: string): void {
+        const agent = this.agents.get(id);
+        if (agent !== undefined) {
+            this.credits -= agent.credits;
+            this.agents.delete(id);
+            this.members = new WeakMap();
+            this.health.remove(id);
+        }
+    }
+
+    /** Changes the credits; they never fall below zero. */
+    public addCredits(agent: AgentEntry, delta: number): void {
+        const credits = Math.max(0, agent.credits + delta);
+        this.credits += credits - agent.credits;
+        agent.credits = credits;
+    }
+
+    /** Agents of the group that may take a task now. */
+    public candidates(group: TaskGroup, now: number): AgentEntry[] {
+        return this.membersOf(group).filter(agent => this.accepts(agent, now));
+    }
+
+    public hasCandidate(group: TaskGroup, now: number): boolean {
+        return this.membersOf(group).some(agent => this.accepts(agent, now));
+    }
+
+    /** Slots of agents that are neither draining nor ejected, and how many of the named agents are among them. */
+    public capacity(named: ReadonlySet<string>): { readonly slots: number; readonly agents: number; } {
+        let slots = 0;
+        let agents = 0;
+        for (const agent of this.agents.values()) {
+            if (!agent.draining && !this.health.ejected(agent.profile.id)) {
+                slots += agent.credits + agent.running;
+                agents += named.has(agent.profile.id) ? 1 : 0;
+            }
+        }
+        return { slots, agents };
+    }
+
+    /** Earliest time after `now` at which an agent with credits becomes usable again; Infinity for never. */
+    public nextUsableAt(now: number): number {
+        let earliest = Infinity;
+        for (const agent of this.agents.values()) {
+            if (agent.credits > 0 && !agent.draining) {
+                const probeAt = this.health.probeAt(agent.profile.id) ?? 0;
+                const at = Math.max(agent.restsUntil, probeAt);
+                earliest = at > now ? Math.min(earliest, at) : earliest;
+            }
+        }
+        return earliest;
+    }
+
+    private accepts(agent: AgentEntry, now: number): boolean {
+        const { id, slots } = agent.profile;
+        return agent.credits > 0 && !agent.draining && agent.restsUntil <= now
+            && this.health.accepts(id, agent.running, slots, now);
+    }
+
+    private membersOf(group: TaskGroup): readonly AgentEntry[] {
+        let members = this.members.get(group);
+        if (members === undefined) {
+            members = [...this.agents.values()].filter(agent => group.agents.has(agent.profile.id));
+            this.members.set(group, members);
+        }
+        return members;
+    }
+}
--- /dev/null
+++ b/src/entry/policy/FairScheduler.ts
@@ -0,0 +1,280 @@
+import { Fault } from "../../common/Fault.js";
+import { FaultCode } from "../../common/FaultCode.js";
+import type { Random } from "../../common/Random.js";
+import { Verdict } from "../../common/Verdict.js";
+import type { AgentEntry } from "./AgentEntry.js";
+import type { AgentProfile } from "./AgentProfile.js";
+import { Agents } from "./Agents.js";
+import type { Assignment } from "./Assignment.js";
+import { attemptKey } from "./attemptKey.js";
+import type { AttemptReport } from "./AttemptReport.js";
+import { Backlog } from "./Backlog.js";
+import { defaultPolicies } from "./defaultPolicies.js";
+import type { Demand } from "./Demand.js";
+import { Disposition } from "./Disposition.js";
+import type { FairPolicies } from "./FairPolicies.js";
+import type { QueuedTask } from "./QueuedTask.js";
+import { RunningTasks } from "./RunningTasks.js";
+import type { ScheduledJob } from "./ScheduledJob.js";
+import type { Scheduler } from "./Scheduler.js";
+import type { SchedulerLimits } from "./SchedulerLimits.js";
+import type { SchedulerSnapshot } from "./SchedulerSnapshot.js";
+import type { TaskEntry } from "./TaskEntry.js";
+import { TaskPhase } from "./TaskPhase.js";
+
+/** A task is overdue after this multiple of its class's p99. */
+const OVERDUE_FACTOR = 4;
+/** Teams whose service differs by less than this time of all slots count as equally served. */
+const FAIR_SLACK_MS_PER_SLOT = 250;
+
+/** Late binding with fair shares between teams, least remaining work within them, and the fastest free agent. */
+export class FairScheduler implements Scheduler {
+    private readonly policies: FairPolicies;
+    private readonly backlog: Backlog;
+    private readonly agents: Agents;
+    private readonly runningTasks = new RunningTasks();
+    private limits: SchedulerLimits | undefined;
+
+    constructor(random: Random, policies: FairPolicies = defaultPolicies(random)) {
+        this.policies = policies;
+        this.backlog = new Backlog(policies.order, policies.fairShare, policies.sizes);
+        this.agents = new Agents(policies.health);
+    }
+
+    public get queued(): number {
+        return this.backlog.queued;
+    }
+
+    public get running(): number {
+        return this.runningTasks.size;
+    }
+
+    public configure(limits: SchedulerLimits): void {
+        this.limits = limits;
+        for (const team of this.backlog.teams.all()) {
+            this.backlog.teams.setWeight(team, limits.team(team.name)?.weight ?? team.weight);
+        }
+    }
+
+    public addAgent(agent: AgentProfile): void {
+        this.agents.add(agent);
+    }
+
+    public removeAgent(id: string): void {
+        this.agents.remove(id);
+        this.policies.speed.forget(id);
+    }
+
+    public addCredits(id: string, delta: number): void {
+        const agent = this.agents.get(id);
+        if (agent !== undefined) {
+            this.agents.addCredits(agent, delta);
+        }
+    }
+
+    public freeCredits(id: string): number {
+        return this.agents.get(id)?.credits ?? 0;
+    }
+
+    public drainAgent(id: string): void {
+        const agent = this.agents.get(id);
+        if (agent !== undefined) {
+            agent.draining = true;
+        }
+    }
+
+    public admit(job: ScheduledJob, now: number): Fault | undefined {
+        if (this.backlog.has(job.job)) {
+            return new Fault(FaultCode.Duplicate, `job ${job.job} is already open`);
+        }
+        const refusal = this.policies.admission.refuse(job, this.demand(job), this.limits, now);
+        if (refusal === undefined) {
+            const team = this.backlog.teams.get(job.team);
+            this.backlog.teams.setWeight(team, this.limits?.team(job.team)?.weight ?? 1);
+            this.backlog.add(job, now);
+        }
+        return refusal;
+    }
+
+    public withdraw(job: string, task: number | undefined): readonly number[] {
+        return this.backlog.withdraw(job, task);
+    }
+
+    public assign(now: number): Assignment | undefined {
+        this.backlog.release(now);
+        this.runningTasks.reclassify(now);
+        this.noteOverdue(now);
+        if (this.agents.free <= 0 || this.backlog.queued === 0) {
+            return undefined;
+        }
+        const slots = this.agents.free + this.runningTasks.size;
+        const reserved = this.limits?.reservedShare ?? 0;
+        const { placement } = this.policies;
+        const entry = this.backlog.next(
+            group => this.agents.hasCandidate(group, now),
+            sizeClass => placement.allows(sizeClass, this.runningTasks.byClass, slots, reserved),
+            slots * FAIR_SLACK_MS_PER_SLOT,
+        );
+        return entry === undefined ? undefined : this.start(entry, now);
+    }
+
+    public report(report: AttemptReport, now: number): Disposition {
+        const entry = this.backlog.find(report.job, report.task);
+        const agent = entry?.agent;
+        if (
+            entry?.phase !== TaskPhase.Running || agent === undefined || entry.task.attempt !== report.attempt
+            || agent.profile.id !== report.agent
+        ) {
+            return Disposition.Final;
+        }
+        this.leaveSlot(entry, agent, report, now);
+        this.learn(entry, agent, report, now);
+        const delay = this.retryDelay(entry, agent, report, now);
+        if (delay === undefined) {
+            this.backlog.end(entry);
+            return Disposition.Final;
+        }
+        entry.task = { ...entry.task, attempt: entry.task.attempt + 1 };
+        this.backlog.requeue(entry, now + delay);
+        return Disposition.Requeued;
+    }
+
+    public expire(now: number): readonly QueuedTask[] {
+        return this.backlog.expire(now);
+    }
+
+    public nextWakeAt(now: number): number | undefined {
+        if (this.backlog.queued === 0) {
+            return undefined;
+        }
+        const { nextDeadlineAt, nextRetryAt } = this.backlog;
+        const at = Math.min(nextDeadlineAt, nextRetryAt, this.agents.nextUsableAt(now));
+        return at === Infinity ? undefined : at;
+    }
+
+    /** Returns the state for operators. */
+    public snapshot(): SchedulerSnapshot {
+        const agents = [...this.agents.all()].map(agent => ({
+            id: agent.profile.id,
+            speed: this.policies.speed.ratio(agent.profile.id),
+            ejected: this.policies.health.ejected(agent.profile.id),
+            draining: agent.draining,
+            credits: agent.credits,
+            running: agent.running,
+        }));
+        const teams = [...this.backlog.teams.all()].map(({ name, queued, running }) => ({
+            team: name,
+            queued,
+            running,
+        }));
+        return { agents, teams };
+    }
+
+    private start(entry: TaskEntry, now: number): Assignment | undefined {
+        const { health, placement, retry, sizes } = this.policies;
+        const candidates = this.agents.candidates(entry.job.group, now);
+        const probe = candidates.find(candidate => health.probeDue(candidate.profile.id, now));
+        const agent = probe ?? placement.pick(candidates, entry.agent?.profile.id);
+        if (agent === undefined) {
+            return undefined;
+        }
+        this.backlog.take(entry, TaskPhase.Running);
+        this.backlog.charge(entry, entry.expectedMs);
+        this.agents.addCredits(agent, -1);
+        entry.agent = agent;
+        entry.startedAt = now;
+        entry.job.team.running += 1;
+        agent.running += 1;
+        placement.occupied(agent, 1);
+        health.started(agent.profile.id, attemptKey(entry.task), now);
+        this.runningTasks.add(entry, now + OVERDUE_FACTOR * sizes.p99Ms(entry.sizeClass));
+        if (entry.task.attempt === 1) {
+            retry.started();
+        }
+        const reason = probe === undefined ? `fastest of ${candidates.length} free` : "probe of ejected agent";
+        return { task: entry.task, agent: agent.profile.id, reason };
+    }
+
+    private leaveSlot(entry: TaskEntry, agent: AgentEntry, report: AttemptReport, now: number): void {
+        this.runningTasks.delete(entry);
+        entry.job.team.running -= 1;
+        agent.running -= 1;
+        this.policies.placement.occupied(agent, -1);
+        const unknownMs = report.verdict === Verdict.NotRun ? 0 : now - entry.startedAt;
+        const usedMs = report.runMs > 0 ? report.runMs : unknownMs;
+        this.backlog.charge(entry, usedMs - entry.expectedMs);
+    }
+
+    private learn(entry: TaskEntry, agent: AgentEntry, report: AttemptReport, now: number): void {
+        const { admission, health, sizes, speed } = this.policies;
+        const id = agent.profile.id;
+        const attempt = attemptKey(report);
+        if (report.verdict === Verdict.Ran && report.ok) {
+            const { declaredMs } = entry.task;
+            speed.observe(id, sizes.expectedMs(declaredMs), report.runMs);
+            sizes.observe(declaredMs, report.runMs);
+            admission.finished(entry.expectedMs, this.agents.free + this.running, this.queued > 0, now);
+            health.succeeded(id, attempt);
+            agent.refusals = 0;
+        }
+        else if (report.countsForHealth) {
+            health.failed(id, attempt, now);
+        }
+        else {
+            health.ended(id, attempt, now);
+        }
+    }
+
+    private retryDelay(
+        entry: TaskEntry,
+        agent: AgentEntry,
+        report: AttemptReport,
+        now: number,
+    ): number | undefined {
+        const { retry } = this.policies;
+        const refused = report.verdict === Verdict.NotRun && !report.countsForHealth;
+        if (refused) {
+            agent.refusals += 1;
+            agent.restsUntil = now + retry.afterRefusal(agent.refusals);
+        }
+        const succeeded = report.verdict === Verdict.Ran && report.ok;
+        const mayRepeat = report.verdict === Verdict.NotRun || entry.task.repeatable;
+        const gone = entry.withdrawn || entry.job.withdrawn || now >= entry.task.deadlineAt;
+        if (succeeded || !mayRepeat || gone) {
+            return undefined;
+        }
+        if (refused) {
+            entry.refusals += 1;
+            return retry.afterRefusal(entry.refusals);
+        }
+        entry.failures += 1;
+        return retry.afterFailure(entry.failures);
+    }
+
+    private noteOverdue(now: number): void {
+        const { health } = this.policies;
+        for (
+            let entry = this.runningTasks.takeOverdue(now);
+            entry !== undefined;
+            entry = this.runningTasks.takeOverdue(now)
+        ) {
+            health.overdue(entry.agent?.profile.id ?? "", now);
+        }
+    }
+
+    private demand(job: ScheduledJob): Demand {
+        const team = this.backlog.teams.peek(job.team);
+        const expected = job.tasks.map(task => this.policies.sizes.expectedMs(task.declaredMs));
+        return {
+            queued: this.backlog.queued,
+            queuedMs: this.backlog.queuedMs,
+            teamTasks: team.queued + team.running,
+            teamQueuedMs: team.queuedMs,
+            teamShare: this.backlog.teams.share(team),
+            ...this.agents.capacity(job.agents),
+            jobMs: expected.reduce((sum, ms) => sum + ms, 0),
+            longestMs: Math.max(0, ...expected),
+            shortestObservedMs: this.policies.sizes.shortestMs,
+        };
+    }
+}
--- a/src/entry/policy/FifoScheduler.ts
+++ b/src/entry/policy/FifoScheduler.ts
@@ -1,25 +1,21 @@
-import { Fault } from "../../common/Fault.js";
-import { FaultCode } from "../../common/FaultCode.js";
-import { Verdict } from "../../common/Verdict.js";
+import type { Fault } from "../../common/Fault.js";
 import type { AgentProfile } from "./AgentProfile.js";
 import type { Assignment } from "./Assignment.js";
 import type { AttemptReport } from "./AttemptReport.js";
+import { CreditTable } from "./CreditTable.js";
 import { Disposition } from "./Disposition.js";
+import { OpenAttempts } from "./OpenAttempts.js";
+import { overflow } from "./overflow.js";
 import type { QueuedTask } from "./QueuedTask.js";
 import type { ScheduledJob } from "./ScheduledJob.js";
 import type { Scheduler } from "./Scheduler.js";
 import type { SchedulerLimits } from "./SchedulerLimits.js";
 
-interface AgentState {
-    credits: number;
-    draining: boolean;
-}
-
 /** Baseline for comparisons: first in, first out, on the first agent with a free slot, retrying only what was not run. */
 export class FifoScheduler implements Scheduler {
-    private readonly agents = new Map<string, AgentState>();
+    private readonly agents = new CreditTable();
     private readonly eligible = new Map<string, ReadonlySet<string>>();
-    private readonly attempts = new Map<string, QueuedTask>();
+    private readonly attempts = new OpenAttempts();
     private queue: QueuedTask[] = [];
     private limits: SchedulerLimits | undefined;
 
@@ -36,39 +32,32 @@
     }
 
     public addAgent(agent: AgentProfile): void {
-        this.agents.set(agent.id, { credits: 0, draining: false });
+        this.agents.add(agent.id);
     }
 
     public removeAgent(id: string): void {
-        this.agents.delete(id);
+        this.agents.remove(id);
     }
 
     public addCredits(id: string, delta: number): void {
-        const agent = this.agents.get(id);
-        if (agent !== undefined) {
-            agent.credits = Math.max(0, agent.credits + delta);
-        }
+        this.agents.addCredits(id, delta);
     }
 
     public freeCredits(id: string): number {
-        return this.agents.get(id)?.credits ?? 0;
+        return this.agents.credits(id);
     }
 
     public drainAgent(id: string): void {
-        const agent = this.agents.get(id);
-        if (agent !== undefined) {
-            agent.draining = true;
-        }
+        this.agents.drain(id);
     }
 
     public admit(job: ScheduledJob): Fault | undefined {
-        const limit = this.limits?.maxQueuedTasks ?? 0;
-        if (this.queue.length + job.tasks.length > limit) {
-            return new Fault(FaultCode.Overloaded, `queue is limited to ${limit} tasks`);
+        const refusal = overflow(this.queue.length, job, this.limits);
+        if (refusal === undefined) {
+            this.eligible.set(job.job, job.agents);
+            this.queue.push(...job.tasks);
         }
-        this.eligible.set(job.job, job.agents);
-        this.queue.push(...job.tasks);
-        return undefined;
+        return refusal;
     }
 
     public withdraw(job: string, task: number | undefined): readonly number[] {
@@ -79,12 +68,16 @@
     }
 
     public assign(): Assignment | undefined {
+        const free = [...this.agents.ids()].filter(id => this.agents.isFree(id));
+        if (free.length === 0) {
+            return undefined;
+        }
         for (const [index, task] of this.queue.entries()) {
-            const agent = this.freeAgent(this.eligible.get(task.job));
+            const agent = free.find(id => this.eligible.get(task.job)?.has(id) === true);
             if (agent !== undefined) {
                 this.queue.splice(index, 1);
-                this.addCredits(agent, -1);
-                this.attempts.set(keyOf(task), task);
+                this.agents.addCredits(agent, -1);
+                this.attempts.open(task);
                 return { task, agent, reason: "first free" };
             }
         }
@@ -92,12 +85,11 @@
     }
 
     public report(report: AttemptReport, now: number): Disposition {
-        const task = this.attempts.get(keyOf(report));
-        this.attempts.delete(keyOf(report));
-        if (task === undefined || report.verdict !== Verdict.NotRun || now >= task.deadlineAt) {
+        const again = this.attempts.close(report, now);
+        if (again === undefined) {
             return Disposition.Final;
         }
-        this.queue.push({ ...task, attempt: task.attempt + 1 });
+        this.queue.push(again);
         return Disposition.Requeued;
     }
 
@@ -112,17 +104,4 @@
             return earliest === undefined ? task.deadlineAt : Math.min(earliest, task.deadlineAt);
         }, undefined);
     }
-
-    private freeAgent(eligible: ReadonlySet<string> | undefined): string | undefined {
-        for (const [id, agent] of this.agents) {
-            if (agent.credits > 0 && !agent.draining && eligible?.has(id) === true) {
-                return id;
-            }
-        }
-        return undefined;
-    }
-}
-
-function keyOf(attempt: { readonly job: string; readonly task: number; readonly attempt: number; }): string {
-    return `${attempt.job}/${attempt.task}/${attempt.attempt}`;
 }
--- /dev/null
+++ b/src/entry/policy/LearntSizes.ts
@@ -0,0 +1,112 @@
+import { SizeClass } from "./SizeClass.js";
+import { sizeClassLimitMs } from "./sizeClassLimitMs.js";
+import { sizeClassOf } from "./sizeClassOf.js";
+import type { Sizes } from "./Sizes.js";
+
+const DEFAULT_RUN_MS = 300;
+const LEARNING_RATE = 0.05;
+const MIN_SAMPLES = 20;
+/** A straggler counts as at most this multiple of the expected time. */
+const MAX_RATIO = 8;
+const UNDECLARED = -1;
+const LONG_P99_DEFAULT_MS = 10_000;
+/** Quarter powers of two from 1 ms to about 18 h. */
+const BINS = 104;
+const BINS_PER_OCTAVE = 4;
+const HALVE_AFTER_SAMPLES = 2000;
+
+interface Average {
+    value: number;
+    samples: number;
+}
+
+interface Histogram {
+    readonly counts: Float64Array;
+    total: number;
+}
+
+/** Learns one correction factor per power of two of the declared size, and the run times of undeclared tasks. */
+export class LearntSizes implements Sizes {
+    private readonly averages = new Map<number, Average>();
+    private readonly overall: Average = { value: 1, samples: 0 };
+    private readonly histograms: readonly Histogram[] = [0, 1, 2].map(() => ({
+        counts: new Float64Array(BINS),
+        total: 0,
+    }));
+    private shortest = Infinity;
+    private samples = 0;
+
+    public get shortestMs(): number {
+        return this.samples < MIN_SAMPLES ? 0 : this.shortest;
+    }
+
+    public expectedMs(declaredMs: number | undefined): number {
+        const average = this.averages.get(bucketOf(declaredMs));
+        const base = Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
+        const usable = average !== undefined && average.samples >= MIN_SAMPLES;
+        const factor = usable ? average.value : declaredMs === undefined ? 1 : this.overall.value;
+        return Math.max(1, base * factor);
+    }
+
+    public p99Ms(sizeClass: SizeClass): number {
+        const histogram = this.histograms[sizeClass];
+        if (histogram === undefined || histogram.total < MIN_SAMPLES * 5) {
+            return sizeClass === SizeClass.Long ? LONG_P99_DEFAULT_MS : sizeClassLimitMs(sizeClass);
+        }
+        let above = histogram.total / 100;
+        let bin = BINS - 1;
+        while (bin > 0 && above >= (histogram.counts[bin] ?? 0)) {
+            above -= histogram.counts[bin] ?? 0;
+            bin -= 1;
+        }
+        return 2 ** ((bin + 1) / BINS_PER_OCTAVE);
+    }
+
+    public observe(declaredMs: number | undefined, runMs: number): void {
+        const expected = this.expectedMs(declaredMs);
+        const bounded = Math.min(runMs, expected * MAX_RATIO);
+        const ratio = bounded / Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
+        this.samples += 1;
+        this.shortest = Math.min(this.shortest, runMs);
+        this.record(sizeClassOf(expected), runMs);
+        learn(this.average(bucketOf(declaredMs)), ratio);
+        if (declaredMs !== undefined) {
+            learn(this.overall, ratio);
+        }
+    }
+
+    private average(bucket: number): Average {
+        let average = this.averages.get(bucket);
+        if (average === undefined) {
+            average = { value: bucket === UNDECLARED ? 1 : this.overall.value, samples: 0 };
+            this.averages.set(bucket, average);
+        }
+        return average;
+    }
+
+    private record(sizeClass: SizeClass, runMs: number): void {
+        const histogram = this.histograms[sizeClass];
+        if (histogram === undefined) {
+            return;
+        }
+        const bin = Math.min(BINS - 1, Math.max(0, Math.floor(Math.log2(Math.max(1, runMs)) * BINS_PER_OCTAVE)));
+        histogram.counts[bin] = (histogram.counts[bin] ?? 0) + 1;
+        histogram.total += 1;
+        if (histogram.total >= HALVE_AFTER_SAMPLES) {
+            histogram.counts.forEach((count, index) => {
+                histogram.counts[index] = count / 2;
+            });
+            histogram.total /= 2;
+        }
+    }
+}
+
+function bucketOf(declaredMs: number | undefined): number {
+    return declaredMs === undefined ? UNDECLARED : Math.round(Math.log2(Math.max(1, declaredMs)));
+}
+
+/** Moves the average towards the value; the first samples count equally, so that learning starts fast. */
+function learn(average: Average, value: number): void {
+    average.samples += 1;
+    average.value += (value - average.value) * Math.max(LEARNING_RATE, 1 / average.samples);
+}
--- /dev/null
+++ b/src/entry/policy/OpenAttempts.ts
@@ -0,0 +1,28 @@
+import { Verdict } from "../../common/Verdict.js";
+import { attemptKey } from "./attemptKey.js";
+import type { AttemptReport } from "./AttemptReport.js";
+import type { QueuedTask } from "./QueuedTask.js";
+
+/** Running attempts, with the retry rule of the comparison schedulers: only what was not run, until the deadline. */
+export class OpenAttempts {
+    private readonly attempts = new Map<string, QueuedTask>();
+
+    public get size(): number {
+        return this.attempts.size;
+    }
+
+    public open(task: QueuedTask): void {
+        this.attempts.set(attemptKey(task), task);
+    }
+
+    /** Ends an attempt and returns the task to queue again, if any. */
+    public close(report: AttemptReport, now: number): QueuedTask | undefined {
+        const key = attemptKey(report);
+        const task = this.attempts.get(key);
+        this.attempts.delete(key);
+        if (task === undefined || report.verdict !== Verdict.NotRun || now >= task.deadlineAt) {
+            return undefined;
+        }
+        return { ...task, attempt: task.attempt + 1 };
+    }
+}
--- /dev/null
+++ b/src/entry/policy/SizeClass.ts
@@ -0,0 +1,10 @@
+/** Class of a task by run time, from short to long; the numbers order the classes. */
+export const SizeClass = {
+    /** At most 100 ms. */
+    Short: 0,
+    /** At most 1 s. */
+    Medium: 1,
+    Long: 2,
+} as const;
+
+export type SizeClass = typeof SizeClass[keyof typeof SizeClass];
--- /dev/null
+++ b/src/entry/policy/trial/makeJobs.ts
@@ -0,0 +1,70 @@
+import type { Random } from "../../../common/Random.js";
+import type { TrialJob } from "./TrialJob.js";
+
+const STRAGGLER_SHARE = 0.002;
+const STRAGGLER_FACTOR = 10;
+const UNDECLARED_SHARE = 0.1;
+const WRONG_SHARE = 0.03;
+
+/** Kind of job in a trial: its task count and run times are drawn log-uniformly between the bounds. */
+export interface JobKind {
+    readonly team: string;
+    /** Relative frequency. */
+    readonly weight: number;
+    readonly tasks: readonly [number, number];
+    readonly runMs: readonly [number, number];
+}
+
+/** Offered work at a time, in milliseconds of work per millisecond. */
+export type OfferedWork = (at: number) => number;
+
+/** Draws jobs with Poisson arrivals until `untilMs`. */
+export function makeJobs(
+    random: Random,
+    kinds: readonly JobKind[],
+    offered: OfferedWork,
+    untilMs: number,
+    deadlineMs: number,
+): TrialJob[] {
+    const meanWork = meanWorkOf(random, kinds);
+    const jobs: TrialJob[] = [];
+    for (let at = 0; at < untilMs;) {
+        at += -Math.log(1 - random.next()) * meanWork / offered(at);
+        jobs.push(makeJob(random, kinds, `j${jobs.length}`, at, deadlineMs));
+    }
+    return jobs;
+}
+
+function meanWorkOf(random: Random, kinds: readonly JobKind[]): number {
+    const samples = 5000;
+    let total = 0;
+    for (let sample = 0; sample < samples; sample += 1) {
+        total += makeJob(random, kinds, "", 0, 0).tasks.reduce((sum, task) => sum + task.runMs, 0);
+    }
+    return total / samples;
+}
+
+function makeJob(random: Random, kinds: readonly JobKind[], id: string, at: number, deadlineMs: number): TrialJob {
+    const kind = pickKind(random, kinds);
+    const count = Math.round(between(random, kind.tasks));
+    const centre = between(random, kind.runMs);
+    const tasks = Array.from({ length: count }, () => makeTask(random, centre));
+    return { id, team: kind.team, at, deadlineMs, tasks };
+}
+
+function makeTask(random: Random, centreMs: number): TrialJob["tasks"][number] {
+    const usual = centreMs * between(random, [0.6, 1.6]);
+    const runMs = random.next() < STRAGGLER_SHARE ? usual * STRAGGLER_FACTOR : usual;
+    const wrong = random.next() < WRONG_SHARE ? between(random, [0.1, 10]) : between(random, [0.6, 1.6]);
+    return { runMs, declaredMs: random.next() < UNDECLARED_SHARE ? undefined : usual * wrong };
+}
+
+function pickKind(random: Random, kinds: readonly JobKind[]): JobKind {
+    let left = random.next() * kinds.reduce((sum, kind) => sum + kind.weight, 0);
+    const found = kinds.find(kind => (left -= kind.weight) < 0);
+    return found ?? kinds[0] as JobKind;
+}
+
+function between(random: Random, [low, high]: readonly [number, number]): number {
+    return low * (high / low) ** random.next();
+}
