--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -67,10 +67,11 @@
             queued: 0,
             queuedMs: 0,
             key: 0,
+            rankedMs: 0,
             withdrawn: false,
         };
         this.jobs.set(job.id, job);
-        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes.expectedMs(task.declaredMs)));
+        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes.expectedMs(task)));
         entries.sort((a, b) => a.expectedMs - b.expectedMs);
         for (const entry of entries) {
             job.tasks.set(entry.task.task, entry);
@@ -215,7 +216,7 @@
     }
 
     private rank(job: JobEntry): void {
-        job.key = this.order.key(job.queuedMs, job.enqueuedAt);
+        this.teams.rank(job, this.order.key(job.queuedMs, job.enqueuedAt));
         const tag = this.fairShare.tag(job.team.name);
         for (const sizeClass of SIZE_CLASSES) {
             const lane = job.group.lanes[sizeClass];
--- a/src/entry/policy/Demand.ts
+++ b/src/entry/policy/Demand.ts
@@ -5,6 +5,8 @@
     /** Queued and running tasks of the team. */
     readonly teamTasks: number;
     readonly teamQueuedMs: number;
+    /** The part of it that goes before the job. */
+    readonly teamBeforeMs: number;
     /** Share of service due to the team among the teams with queued work, 0 to 1. */
     readonly teamShare: number;
     /** Slots on agents that accept work. */
--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -15,9 +15,9 @@
  * Longest expected wait in lasting overload. At 70% base load a backlog of W drains in W / 0.3, so 800 ms returns to
  * normal within 3 s.
  */
-const MAX_STANDING_WAIT_MS = 800;
+const MAX_STANDING_WAIT_MS = 1500;
 /** Overload is lasting when the expected wait has stayed above half of its bound for this time. */
-const STANDING_AFTER_MS = 1000;
+const STANDING_AFTER_MS = 2000;
 const MIN_RATE_PER_MS = 1e-6;
 const MIN_RETRY_AFTER_MS = 50;
 const NO_AGENTS_RETRY_AFTER_MS = 1000;
@@ -75,13 +75,16 @@
             : refusal(FaultCode.Overloaded, `expected wait ${Math.round(wait)} ms exceeds ${bound} ms`, wait - bound);
     }
 
-    /** The team waits for its own backlog at its share, and never longer than for the whole backlog. */
+    /**
+     * The job waits for the part of its team's backlog that goes before it, at the team's share of service, and never
+     * longer than for the whole backlog.
+     */
     private expectedWaitMs(demand: Demand, now: number): number {
         const total = this.waitMs(demand.queuedMs, demand, 1);
         if (total < MAX_STANDING_WAIT_MS / 2) {
             this.lastCalmAt = now;
         }
-        return Math.min(total, this.waitMs(demand.teamQueuedMs, demand, demand.teamShare));
+        return Math.min(total, this.waitMs(demand.teamBeforeMs, demand, demand.teamShare));
     }
 
     private waitMs(workMs: number, demand: Demand, share: number): number {
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -87,7 +87,7 @@
         if (this.backlog.has(job.job)) {
             return new Fault(FaultCode.Duplicate, `job ${job.job} is already open`);
         }
-        const refusal = this.policies.admission.refuse(job, this.demand(job), this.limits, now);
+        const refusal = this.policies.admission.refuse(job, this.demand(job, now), this.limits, now);
         if (refusal === undefined) {
             const team = this.backlog.teams.get(job.team);
             this.backlog.teams.setWeight(team, this.limits?.team(job.team)?.weight ?? 1);
@@ -210,9 +210,8 @@
         const id = agent.profile.id;
         const attempt = attemptKey(report);
         if (report.verdict === Verdict.Ran && report.ok) {
-            const { declaredMs } = entry.task;
-            speed.observe(id, sizes.expectedMs(declaredMs), report.runMs);
-            sizes.observe(declaredMs, report.runMs);
+            speed.observe(id, sizes.expectedMs(entry.task), report.runMs);
+            sizes.observe(entry.task, report.runMs);
             admission.finished(entry.expectedMs, this.agents.free + this.running, this.queued > 0, now);
             health.succeeded(id, attempt);
             agent.refusals = 0;
@@ -262,17 +261,19 @@
         }
     }
 
-    private demand(job: ScheduledJob): Demand {
+    private demand(job: ScheduledJob, now: number): Demand {
         const team = this.backlog.teams.peek(job.team);
-        const expected = job.tasks.map(task => this.policies.sizes.expectedMs(task.declaredMs));
+        const expected = job.tasks.map(task => this.policies.sizes.expectedMs(task));
+        const jobMs = expected.reduce((sum, ms) => sum + ms, 0);
         return {
             queued: this.backlog.queued,
             queuedMs: this.backlog.queuedMs,
             teamTasks: team.queued + team.running,
             teamQueuedMs: team.queuedMs,
+            teamBeforeMs: this.backlog.teams.workBefore(team, this.policies.order.key(jobMs, now)),
             teamShare: this.backlog.teams.share(team),
             ...this.agents.capacity(job.agents),
-            jobMs: expected.reduce((sum, ms) => sum + ms, 0),
+            jobMs,
             longestMs: Math.max(0, ...expected),
             shortestObservedMs: this.policies.sizes.shortestMs,
         };
--- a/src/entry/policy/JobEntry.ts
+++ b/src/entry/policy/JobEntry.ts
@@ -17,6 +17,8 @@
     /** Expected work not yet started, in milliseconds. */
     queuedMs: number;
     key: number;
+    /** Part of `queuedMs` that its team counts under the present key. */
+    rankedMs: number;
     /** The whole job was withdrawn: running tasks are not queued again. */
     withdrawn: boolean;
 }
--- a/src/entry/policy/LearntSizes.ts
+++ b/src/entry/policy/LearntSizes.ts
@@ -1,3 +1,4 @@
+import type { QueuedTask } from "./QueuedTask.js";
 import { SizeClass } from "./SizeClass.js";
 import { sizeClassLimitMs } from "./sizeClassLimitMs.js";
 import { sizeClassOf } from "./sizeClassOf.js";
@@ -8,7 +9,6 @@
 const MIN_SAMPLES = 20;
 /** A straggler counts as at most this multiple of the expected time. */
 const MAX_RATIO = 8;
-const UNDECLARED = -1;
 const LONG_P99_DEFAULT_MS = 10_000;
 /** Quarter powers of two from 1 ms to about 18 h. */
 const BINS = 104;
@@ -25,9 +25,12 @@
     total: number;
 }
 
-/** Learns one correction factor per power of two of the declared size, and the run times of undeclared tasks. */
+/**
+ * Learns one correction factor per team and power of two of the declared size, and one run time of undeclared tasks per
+ * team, because what is wrong with the sizes is a habit of who declares them.
+ */
 export class LearntSizes implements Sizes {
-    private readonly averages = new Map<number, Average>();
+    private readonly averages = new Map<string, Average>();
     private readonly overall: Average = { value: 1, samples: 0 };
     private readonly histograms: readonly Histogram[] = [0, 1, 2].map(() => ({
         counts: new Float64Array(BINS),
@@ -40,8 +43,9 @@
         return this.samples < MIN_SAMPLES ? 0 : this.shortest;
     }
 
-    public expectedMs(declaredMs: number | undefined): number {
-        const average = this.averages.get(bucketOf(declaredMs));
+    public expectedMs(task: QueuedTask): number {
+        const { declaredMs } = task;
+        const average = this.averages.get(bucketOf(task));
         const base = Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
         const usable = average !== undefined && average.samples >= MIN_SAMPLES;
         const factor = usable ? average.value : declaredMs === undefined ? 1 : this.overall.value;
@@ -62,23 +66,24 @@
         return 2 ** ((bin + 1) / BINS_PER_OCTAVE);
     }
 
-    public observe(declaredMs: number | undefined, runMs: number): void {
-        const expected = this.expectedMs(declaredMs);
+    public observe(task: QueuedTask, runMs: number): void {
+        const { declaredMs } = task;
+        const expected = this.expectedMs(task);
         const bounded = Math.min(runMs, expected * MAX_RATIO);
         const ratio = bounded / Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
         this.samples += 1;
         this.shortest = Math.min(this.shortest, runMs);
         this.record(sizeClassOf(expected), runMs);
-        learn(this.average(bucketOf(declaredMs)), ratio);
+        learn(this.average(bucketOf(task), declaredMs), ratio);
         if (declaredMs !== undefined) {
             learn(this.overall, ratio);
         }
     }
 
-    private average(bucket: number): Average {
+    private average(bucket: string, declaredMs: number | undefined): Average {
         let average = this.averages.get(bucket);
         if (average === undefined) {
-            average = { value: bucket === UNDECLARED ? 1 : this.overall.value, samples: 0 };
+            average = { value: declaredMs === undefined ? 1 : this.overall.value, samples: 0 };
             this.averages.set(bucket, average);
         }
         return average;
@@ -101,8 +106,9 @@
     }
 }
 
-function bucketOf(declaredMs: number | undefined): number {
-    return declaredMs === undefined ? UNDECLARED : Math.round(Math.log2(Math.max(1, declaredMs)));
+function bucketOf({ team, declaredMs }: QueuedTask): string {
+    const size = declaredMs === undefined ? "undeclared" : Math.round(Math.log2(Math.max(1, declaredMs)));
+    return `${size}/${team}`;
 }
 
 /** Moves the average towards the value; the first samples count equally, so that learning starts fast. */
--- a/src/entry/policy/Sizes.ts
+++ b/src/entry/policy/Sizes.ts
@@ -1,3 +1,4 @@
+import type { QueuedTask } from "./QueuedTask.js";
 import type { SizeClass } from "./SizeClass.js";
 
 /** Expected run times, from declared sizes corrected by what was observed. */
@@ -5,9 +6,9 @@
     /** Shortest observed run time in milliseconds; 0 while unknown. */
     readonly shortestMs: number;
     /** Expected run time in milliseconds on an agent of average speed. */
-    expectedMs(declaredMs: number | undefined): number;
+    expectedMs(task: QueuedTask): number;
     /** Run time that a hundredth of the tasks of the class exceed, in milliseconds. */
     p99Ms(sizeClass: SizeClass): number;
     /** Learns from a task that ran to its end. */
-    observe(declaredMs: number | undefined, runMs: number): void;
+    observe(task: QueuedTask, runMs: number): void;
 }
--- a/src/entry/policy/TeamEntry.ts
+++ b/src/entry/policy/TeamEntry.ts
@@ -6,4 +6,6 @@
     running: number;
     /** Expected work not yet started, in milliseconds. */
     queuedMs: number;
+    /** The same work by the whole part of its job's order key. */
+    readonly workByKey: Map<number, number>;
 }
--- a/src/entry/policy/Teams.ts
+++ b/src/entry/policy/Teams.ts
@@ -1,5 +1,9 @@
+import type { JobEntry } from "./JobEntry.js";
 import type { TeamEntry } from "./TeamEntry.js";
 
+/** Expected times are at least 1 ms; smaller sums are rounding errors. */
+const LEAST_WORK_MS = 0.01;
+
 /** Teams with their queued and running tasks, and the weight of those that have queued tasks. */
 export class Teams {
     private readonly teams = new Map<string, TeamEntry>();
@@ -40,6 +44,23 @@
         }
     }
 
+    /** Moves the queued work of a job to its present key. */
+    public rank(job: JobEntry, key: number): void {
+        addWork(job.team.workByKey, Math.floor(job.key), -job.rankedMs);
+        job.key = key;
+        job.rankedMs = job.queued === 0 ? 0 : job.queuedMs;
+        addWork(job.team.workByKey, Math.floor(key), job.rankedMs);
+    }
+
+    /** Queued work of the team that goes before a new job with the key. */
+    public workBefore(team: TeamEntry, key: number): number {
+        let total = 0;
+        for (const [other, workMs] of team.workByKey) {
+            total += other <= key ? workMs : 0;
+        }
+        return total;
+    }
+
     /** Share of service due to the team once it has queued tasks, 0 to 1. */
     public share(team: TeamEntry): number {
         const others = team.queued > 0 ? this.backlogWeight - team.weight : this.backlogWeight;
@@ -47,6 +68,16 @@
     }
 }
 
+function addWork(workByKey: Map<number, number>, key: number, workMs: number): void {
+    const sum = (workByKey.get(key) ?? 0) + workMs;
+    if (sum < LEAST_WORK_MS) {
+        workByKey.delete(key);
+    }
+    else {
+        workByKey.set(key, sum);
+    }
+}
+
 function newTeam(name: string): TeamEntry {
-    return { name, weight: 1, queued: 0, running: 0, queuedMs: 0 };
+    return { name, weight: 1, queued: 0, running: 0, queuedMs: 0, workByKey: new Map() };
 }
