--- /dev/null
+++ b/src/agent/Attachments.ts
@@ -0,0 +1,292 @@
+import { Emitter } from "../common/Emitter.js";
+import type { Runtime } from "../common/Runtime.js";
+import { shardOf } from "../common/shardOf.js";
+import type { Channel } from "../common/wire/Channel.js";
+import type { Member } from "../common/wire/Member.js";
+import { AgentEvent } from "./AgentEvent.js";
+import { Attachment } from "./Attachment.js";
+import { awaitAttached } from "./awaitAttached.js";
+import type { ConfigurationCopy } from "./ConfigurationCopy.js";
+import type { EndpointDeclaration } from "./EndpointDeclaration.js";
+import { EntryDirectory } from "./EntryDirectory.js";
+import type { Slots } from "./Slots.js";
+import type { Tasks } from "./Tasks.js";
+
+const MAX_CONNECTIONS = 3;
+
+/** Longest time between two looks at the home, in milliseconds; the real time is jittered down to half of it. */
+const CHECK_MS = 400;
+
+/** Longest wait for the credits of a retiring attachment to be released, in milliseconds. */
+const RELEASE_WAIT_MS = 2000;
+
+/** Time that a seed has to send member rows, in milliseconds; after that the seed itself is used as an entry. */
+const MEMBERS_WAIT_MS = 1000;
+
+interface Setting {
+    readonly agentId: string;
+    readonly region: string;
+    readonly rack: string;
+    readonly seeds: readonly string[];
+}
+
+/** Keeps this agent attached to the home entry of its shard while an endpoint is announced. */
+export class Attachments {
+    private readonly attachments = new Set<Attachment>();
+    private readonly directory: EntryDirectory;
+    private readonly channels = new Emitter<Channel>();
+    private endpoint: EndpointDeclaration | undefined;
+    private working = false;
+    private disposed = false;
+    private cancelCheck: () => void = () => undefined;
+
+    /** Fires with each channel that this agent has opened. */
+    public readonly onChannel = this.channels.event;
+
+    constructor(
+        private readonly setting: Setting,
+        private readonly connect: (address: string) => Promise<Channel>,
+        private readonly slots: Slots<Channel>,
+        private readonly tasks: Tasks,
+        private readonly configuration: ConfigurationCopy,
+        private readonly runtime: Runtime,
+    ) {
+        this.directory = new EntryDirectory(setting.region, runtime.clock, runtime.random);
+    }
+
+    /** Open connections to entries. */
+    public get count(): number {
+        return this.attachments.size;
+    }
+
+    /** Attaches on behalf of `endpoint` from now on. */
+    public serve(endpoint: EndpointDeclaration): void {
+        this.endpoint = endpoint;
+        this.check();
+    }
+
+    /** Tells attached entries that no starts are taken; each connection closes when its tasks are reported. */
+    public leave(reason: string): void {
+        this.endpoint = undefined;
+        for (const attachment of this.attachments) {
+            if (attachment.isAttached) {
+                attachment.channel.send({ kind: "drain", reason });
+                this.retire(attachment);
+            }
+            else {
+                attachment.channel.close(reason);
+            }
+        }
+        this.check();
+    }
+
+    /** Takes the member rows that an entry sent. */
+    public updateMembers(rows: readonly Member[]): void {
+        this.directory.update(rows);
+        this.check();
+    }
+
+    /** Closes connections that have nothing left to report, and attaches to the home where it changed. */
+    public check(): void {
+        this.cancelCheck();
+        if (this.disposed) {
+            return;
+        }
+        this.closeRetired();
+        const { clock, random } = this.runtime;
+        this.cancelCheck = clock.schedule(CHECK_MS * (1 + random.next()) / 2, () => {
+            this.check();
+        });
+        if (!this.working && this.endpoint !== undefined) {
+            this.working = true;
+            void this.approach(this.endpoint).finally(() => {
+                this.working = false;
+            });
+        }
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.cancelCheck();
+        for (const attachment of this.attachments) {
+            attachment.channel.dispose();
+        }
+        this.channels.dispose();
+    }
+
+    private async approach(endpoint: EndpointDeclaration): Promise<void> {
+        const { agentId, region } = this.setting;
+        const shard = shardOf(agentId, this.configuration.shardsOf(endpoint.service));
+        const home = this.directory.best(`${region}/${endpoint.service}/${shard}`);
+        if (home === undefined) {
+            await this.meetSeed();
+            return;
+        }
+        const known = this.find(home.id, home.incarnation);
+        if (known?.state === "attached") {
+            this.closeUnused();
+            return;
+        }
+        if (known?.state !== "retiring") {
+            await this.attach(home.id, home.address, known, endpoint);
+        }
+    }
+
+    private async attach(
+        id: string,
+        address: string,
+        known: Attachment | undefined,
+        endpoint: EndpointDeclaration,
+    ): Promise<void> {
+        const { log, clock } = this.runtime;
+        log.write(AgentEvent.AttachBegun, { entry: id, address });
+        const attachment = known ?? await this.open(address, id);
+        if (attachment === undefined) {
+            return;
+        }
+        const { channel } = attachment;
+        if (channel.peer.id !== id) {
+            this.directory.failed(id);
+            log.write(AgentEvent.AttachFailed, { entry: id, reason: `${channel.peer.id} answers at ${address}` });
+            return;
+        }
+        attachment.enter("attaching");
+        const { service, slots, connections } = endpoint;
+        const answer = awaitAttached(channel, clock);
+        channel.send({ kind: "attach", service, rack: this.setting.rack, slots, connections });
+        const reason = await answer;
+        if (reason === undefined && channel.open && this.endpoint === endpoint) {
+            this.attached(attachment);
+            return;
+        }
+        this.directory.failed(id);
+        log.write(AgentEvent.AttachFailed, { entry: id, reason: reason ?? "endpoint withdrawn meanwhile" });
+        channel.close("not attached");
+    }
+
+    private attached(attachment: Attachment): void {
+        attachment.enter("attached");
+        this.directory.succeeded(attachment.id);
+        this.directory.add({ ...attachment.channel.peer });
+        this.runtime.log.write(AgentEvent.Attached, { entry: attachment.id });
+        this.slots.add(attachment.channel);
+        this.tasks.deliverKept(attachment.channel);
+        for (const other of this.attachments) {
+            if (other !== attachment && other.state === "attached") {
+                this.runtime.log.write(AgentEvent.HomeChanged, { from: other.id, to: attachment.id });
+                this.retire(other);
+            }
+        }
+    }
+
+    private async meetSeed(): Promise<void> {
+        const seeds = this.setting.seeds.filter(seed => !this.directory.isBackedOff(seed));
+        const seed = seeds[Math.floor(this.runtime.random.next() * seeds.length)];
+        if (seed === undefined) {
+            return;
+        }
+        const attachment = await this.open(seed, seed);
+        if (attachment === undefined) {
+            this.runtime.log.write(AgentEvent.NoEntry, { seed });
+            return;
+        }
+        this.directory.succeeded(seed);
+        const { channel } = attachment;
+        await this.awaitMembers(channel);
+        if (!this.directory.knowsAny) {
+            this.directory.add({ ...channel.peer });
+        }
+    }
+
+    private awaitMembers(channel: Channel): Promise<void> {
+        return new Promise(resolve => {
+            const cancel = this.runtime.clock.schedule(MEMBERS_WAIT_MS, resolve);
+            const finish = () => {
+                cancel();
+                resolve();
+            };
+            channel.onClose(finish);
+            channel.onMessage(message => {
+                if (message.kind === "members") {
+                    finish();
+                }
+            });
+        });
+    }
+
+    private async open(address: string, id: string): Promise<Attachment | undefined> {
+        const { clock, log } = this.runtime;
+        this.makeRoom();
+        let channel: Channel;
+        try {
+            channel = await this.connect(address);
+        }
+        catch (error) {
+            this.directory.failed(id);
+            log.write(AgentEvent.AttachFailed, { entry: id, address, reason: String(error) });
+            return undefined;
+        }
+        if (this.disposed) {
+            channel.dispose();
+            return undefined;
+        }
+        const beat = () => ({ load: this.tasks.runningOf(channel), revision: this.configuration.revision });
+        const attachment = new Attachment(channel, beat, clock, log);
+        this.attachments.add(attachment);
+        channel.onClose(reason => {
+            this.closed(attachment, reason);
+        });
+        this.channels.fire(channel);
+        return attachment;
+    }
+
+    private closed(attachment: Attachment, reason: string): void {
+        this.attachments.delete(attachment);
+        this.slots.remove(attachment.channel);
+        this.runtime.log.write(AgentEvent.Detached, { entry: attachment.id, reason, state: attachment.state });
+        if (attachment.state === "attached") {
+            this.directory.failed(attachment.id);
+        }
+        this.check();
+    }
+
+    private retire(attachment: Attachment): void {
+        if (attachment.state === "attached") {
+            attachment.enter("retiring");
+            this.slots.retire(attachment.channel);
+        }
+    }
+
+    /** Closes retiring attachments whose tasks are reported. */
+    public closeRetired(): void {
+        for (const attachment of this.attachments) {
+            const { channel } = attachment;
+            const released = this.slots.creditsOf(channel) === 0 || attachment.age > RELEASE_WAIT_MS;
+            if (attachment.state === "retiring" && released && this.tasks.runningOf(channel) === 0) {
+                channel.close("retired");
+            }
+        }
+    }
+
+    private closeUnused(): void {
+        for (const attachment of this.attachments) {
+            if (attachment.state === "connected") {
+                attachment.channel.close("attached elsewhere");
+            }
+        }
+    }
+
+    /** Closes connections, unused ones first and then the oldest, until one more may be opened. */
+    private makeRoom(): void {
+        const ordered = [...this.attachments].sort((a, b) => Number(a.isAttached) - Number(b.isAttached));
+        for (const attachment of ordered.slice(0, Math.max(0, ordered.length - MAX_CONNECTIONS + 1))) {
+            attachment.channel.close("too many connections");
+        }
+    }
+
+    private find(id: string, incarnation: string): Attachment | undefined {
+        return [...this.attachments].find(({ channel }) =>
+            channel.peer.id === id && channel.peer.incarnation === incarnation
+        );
+    }
+}
--- /dev/null
+++ b/src/agent/ConfigurationCopy.ts
@@ -0,0 +1,56 @@
+import { Emitter } from "../common/Emitter.js";
+import type { MessageOf } from "../common/wire/MessageOf.js";
+
+type Message = MessageOf<"configuration">;
+type Section = Message["sections"][number];
+
+/** Raw copy of the configuration sections, kept for entries that start while no other source is left. */
+export class ConfigurationCopy {
+    private readonly sections = new Map<string, Section>();
+    private readonly changes = new Emitter<number>();
+    private documentRevision = 0;
+
+    /** Fires with the document revision after it moved forward. */
+    public readonly onChange = this.changes.event;
+
+    /** Document revision of the copy, 0 for none. */
+    public get revision(): number {
+        return this.documentRevision;
+    }
+
+    /** Takes the sections that are newer than the kept ones; never moves back. */
+    public adopt(message: Message): void {
+        for (const section of message.sections) {
+            if (section.revision > (this.sections.get(section.team)?.revision ?? 0)) {
+                this.sections.set(section.team, section);
+            }
+        }
+        if (message.revision > this.documentRevision) {
+            this.documentRevision = message.revision;
+            this.changes.fire(message.revision);
+        }
+    }
+
+    /** Answers `pull` with the sections that changed after document revision `revision`. */
+    public since(revision: number): Message {
+        const sections = [...this.sections.values()].filter(section => section.revision > revision);
+        return { kind: "configuration", revision: this.documentRevision, sections };
+    }
+
+    /** Number of shards of a service; 1 until a section says otherwise. */
+    public shardsOf(service: string): number {
+        for (const { body } of this.sections.values()) {
+            const shards = fieldOf(fieldOf(fieldOf(body, "services"), service), "shards");
+            if (typeof shards === "number" && Number.isSafeInteger(shards) && shards > 0) {
+                return shards;
+            }
+        }
+        return 1;
+    }
+}
+
+function fieldOf(value: unknown, name: string): unknown {
+    return typeof value === "object" && value !== null && Object.hasOwn(value, name)
+        ? (value as Record<string, unknown>)[name]
+        : undefined;
+}
--- /dev/null
+++ b/src/endpoint/TaskServer.ts
@@ -0,0 +1,139 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Random } from "../common/Random.js";
+import type { Runtime } from "../common/Runtime.js";
+import { EndpointEvent } from "./EndpointEvent.js";
+import type { Faults } from "./Faults.js";
+import { TaskPayload } from "./TaskPayload.js";
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** HTTP server that runs tasks by waiting, and counts the starts of each task. */
+export class TaskServer {
+    private readonly startCounts = new Map<string, number>();
+    private readonly runningTasks = new Set<string>();
+    private readonly server: Server;
+    private closing = false;
+
+    private constructor(
+        private readonly faults: Faults,
+        private readonly random: Random,
+        private readonly runtime: Runtime,
+    ) {
+        this.server = createServer((request, response) => {
+            void this.serve(request, response);
+        });
+    }
+
+    public static async listen(
+        address: { readonly host: string; readonly port: number; },
+        faults: Faults,
+        random: Random,
+        runtime: Runtime,
+    ): Promise<TaskServer> {
+        const tasks = new TaskServer(faults, random, runtime);
+        await new Promise<void>((resolve, reject) => {
+            tasks.server.once("error", reject);
+            tasks.server.listen(address.port, address.host, resolve);
+        });
+        return tasks;
+    }
+
+    public get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Starts by `issuer/sequence/task`. */
+    public get starts(): ReadonlyMap<string, number> {
+        return this.startCounts;
+    }
+
+    /** Names of the tasks that run now, as `issuer/sequence/task/attempt`. */
+    public get running(): readonly string[] {
+        return [...this.runningTasks];
+    }
+
+    /** Answers further requests with 503 and the header that says that nothing was run. */
+    public refuseNew(): void {
+        this.closing = true;
+    }
+
+    public async dispose(): Promise<void> {
+        this.server.closeAllConnections();
+        await new Promise(resolve => this.server.close(resolve));
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const payload = await readPayload(request);
+        if (request.method !== "POST" || payload === undefined) {
+            const message = "expected POST with {runMs, value?, fail?}";
+            this.refuse(response, request.method === "POST" ? 400 : 405, message);
+        }
+        else if (this.closing) {
+            response.setHeader("x-waxwingshunt-not-run", "true");
+            this.refuse(response, 503, "leaving");
+        }
+        else {
+            this.run(request, response, payload);
+        }
+    }
+
+    private run(request: IncomingMessage, response: ServerResponse, payload: TaskPayload): void {
+        const task = ["issuer", "sequence", "task"].map(name => headerOf(request, name)).join("/");
+        const name = `${task}/${headerOf(request, "attempt")}`;
+        const { speed, silentShare, failureShare, stragglerShare, stragglerFactor } = this.faults;
+        // Each task draws the same number of values, so a changed share leaves the later draws as they were.
+        const [silentDraw, failureDraw, stragglerDraw] = [this.random.next(), this.random.next(), this.random.next()];
+        const runMs = payload.runMs / speed * (stragglerDraw < stragglerShare ? stragglerFactor : 1);
+        const fails = payload.fail === true || failureDraw < failureShare;
+        this.startCounts.set(task, (this.startCounts.get(task) ?? 0) + 1);
+        this.runningTasks.add(name);
+        const { clock, log } = this.runtime;
+        log.write(EndpointEvent.TaskStarted, { name, runMs });
+        const cancel = silentDraw < silentShare ? () => undefined : clock.schedule(runMs, () => {
+            log.write(EndpointEvent.TaskEnded, { name, runMs, fails });
+            this.runningTasks.delete(name);
+            sendJson(response, fails ? 500 : 200, fails ? { error: "task failed" } : { value: payload.value, runMs });
+        });
+        response.once("close", () => {
+            cancel();
+            if (this.runningTasks.delete(name)) {
+                log.write(EndpointEvent.TaskAborted, { name });
+            }
+        });
+    }
+
+    private refuse(response: ServerResponse, status: number, message: string): void {
+        this.runtime.log.write(EndpointEvent.RequestRefused, { status, message });
+        sendJson(response, status, { error: message });
+    }
+}
+
+function headerOf(request: IncomingMessage, name: string): string {
+    return String(request.headers[`x-waxwingshunt-${name}`] ?? "");
+}
+
+async function readPayload(request: IncomingMessage): Promise<TaskPayload | undefined> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    try {
+        for await (const chunk of request as AsyncIterable<Buffer>) {
+            bytes += chunk.length;
+            if (bytes > MAX_BODY_BYTES) {
+                return undefined;
+            }
+            chunks.push(chunk);
+        }
+        const parsed = TaskPayload.safeParse(JSON.parse(Buffer.concat(chunks).toString("utf8")));
+        return parsed.success ? parsed.data : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+    response.statusCode = status;
+    response.setHeader("content-type", "application/json");
+    response.end(JSON.stringify(body));
+}
