Add the platform stand-in, the configuration, peers and membership of entries

Change: table and object store stand-in with injected faults, HTTP table client, configuration schema, checks and store, compare-and-set changes with write tokens, distribution by polling, gossip and pulls, calls between entries, and gossip membership with lease rows.

--- /dev/null
+++ b/src/entry/configuration/HeadReader.ts
@@ -0,0 +1,85 @@
+import type { Clock } from "../../common/Clock.js";
+import type { ConfigurationStore } from "../../common/configuration/ConfigurationStore.js";
+import type { Log } from "../../common/log/Log.js";
+import { StateEvent } from "../StateEvent.js";
+import type { ConfigurationRows } from "./ConfigurationRows.js";
+
+/** Reads the head row and the sections that changed into the configuration of this process. */
+export class HeadReader {
+    private polling: Promise<void> | undefined;
+    private available = true;
+    private readAt: number | undefined;
+    private attemptedAt = 0;
+    private stored: number | undefined;
+
+    constructor(
+        private readonly rows: ConfigurationRows,
+        private readonly store: ConfigurationStore,
+        private readonly clock: Clock,
+        private readonly log: Log,
+    ) {}
+
+    /** Document revision of the store when it was last read. */
+    public get lastRevision(): number | undefined {
+        return this.stored;
+    }
+
+    /** Time of the last attempt. */
+    public get polledAt(): number {
+        return this.attemptedAt;
+    }
+
+    /** Milliseconds since the store was last read; undefined when it never was. */
+    public ageMs(): number | undefined {
+        return this.readAt === undefined ? undefined : this.clock.now() - this.readAt;
+    }
+
+    /** Reads the store and logs when it becomes unavailable or available; one read runs at a time. */
+    public poll(): Promise<void> {
+        this.polling ??= this.attempt().finally(() => {
+            this.polling = undefined;
+        });
+        return this.polling;
+    }
+
+    /** Reads the store; rejects with a fault when that fails. */
+    public async synchronise(): Promise<void> {
+        const { value } = await this.rows.readHead();
+        this.stored = value.revision;
+        this.readAt = this.clock.now();
+        if (value.revision < this.store.revision) {
+            this.log.write(StateEvent.StoreBehind, { stored: value.revision, revision: this.store.revision });
+            return;
+        }
+        if (value.revision === this.store.revision) {
+            return;
+        }
+        const teams = Object.keys(value.sections)
+            .filter(team => (value.sections[team] ?? 0) > this.store.sectionRevision(team));
+        const sections = await this.rows.readSections(teams);
+        const before = this.store.revision;
+        for (const team of this.store.adopt(value.revision, sections)) {
+            this.log.write(StateEvent.SectionInvalid, { team, sender: "store" });
+        }
+        if (this.store.revision > before) {
+            this.log.write(StateEvent.ConfigurationAdopted, { revision: this.store.revision, from: "store" });
+        }
+    }
+
+    private async attempt(): Promise<void> {
+        this.attemptedAt = this.clock.now();
+        try {
+            await this.synchronise();
+            if (!this.available) {
+                this.log.write(StateEvent.StoreAvailable);
+            }
+            this.available = true;
+        }
+        catch (error) {
+            if (this.available) {
+                this.log.write(StateEvent.StoreUnavailable, { reason: String(error) });
+            }
+            this.available = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/Configuration.ts
@@ -0,0 +1,254 @@
+import type { Clock } from "../../common/Clock.js";
+import type { ConfigurationFault } from "../../common/configuration/ConfigurationFault.js";
+import type { ConfigurationStore } from "../../common/configuration/ConfigurationStore.js";
+import type { TeamSection } from "../../common/configuration/TeamSection.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
+import { Fault } from "../../common/Fault.js";
+import { FaultCode } from "../../common/FaultCode.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Random } from "../../common/Random.js";
+import { rendezvousRank } from "../../common/rendezvousRank.js";
+import type { Table } from "../../common/table/Table.js";
+import { Verdict } from "../../common/Verdict.js";
+import type { Message } from "../../common/wire/Message.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { AttachedAgents } from "../AttachedAgents.js";
+import type { ChangeResult } from "../configuration/ChangeResult.js";
+import { ConfigurationRows } from "../configuration/ConfigurationRows.js";
+import type { ConfigurationStatus } from "../configuration/ConfigurationStatus.js";
+import { ConfigurationWriter } from "../configuration/ConfigurationWriter.js";
+import { HeadReader } from "../configuration/HeadReader.js";
+import { settle } from "../configuration/settle.js";
+import type { Settlement } from "../configuration/Settlement.js";
+import type { WriteToken } from "../configuration/WriteToken.js";
+import type { MemberRows } from "../MemberRows.js";
+import type { PeerMessage } from "../PeerMessage.js";
+import type { PeerMessages } from "../PeerMessages.js";
+import { StateEvent } from "../StateEvent.js";
+
+const TICK_MS = 1000;
+
+/** Entries per region that read the head row every tick. */
+const POLLERS = 2;
+
+/** An entry that has heard no revision from a peer for this time reads the head row itself. */
+const SILENCE_MS = 6000;
+
+/** Every entry reads the head row at least this often, in case both pollers are cut off from the store. */
+const VERIFY_MS = 10_000;
+
+/** A push to an agent is repeated after this time when the agent still reports an older revision. */
+const PUSH_AGAIN_MS = 3000;
+
+const RETRY_AFTER_MS = 1000;
+
+/** What the configuration works with. */
+interface ConfigurationOptions {
+    readonly store: ConfigurationStore;
+    /** Absent when the entry has no platform; then the document comes from peers and agents only. */
+    readonly table: Table | undefined;
+    readonly members: MemberRows;
+    readonly peers: PeerMessages;
+    readonly agents: AttachedAgents;
+    /** Id of this entry. */
+    readonly id: string;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: Log;
+}
+
+/** Changes of the configuration by operators, and its distribution between the store, the entries and the agents. */
+export class Configuration implements Disposable {
+    private readonly registrations = new DisposableStore();
+    private readonly rows: ConfigurationRows | undefined;
+    private readonly head: HeadReader | undefined;
+    private readonly writer: ConfigurationWriter | undefined;
+    private readonly pushes = new Map<string, { readonly revision: number; readonly at: number; }>();
+    private heardAt: number;
+
+    constructor(private readonly options: ConfigurationOptions) {
+        const { table, store, clock, log } = options;
+        this.heardAt = clock.now();
+        if (table !== undefined) {
+            const rows = new ConfigurationRows(table);
+            const head = new HeadReader(rows, store, clock, log);
+            this.rows = rows;
+            this.head = head;
+            this.writer = new ConfigurationWriter(rows, store, () => head.synchronise(), log);
+        }
+    }
+
+    /** Begins the distribution; resolves after the first attempt to read the store, whether it succeeded or not. */
+    public async start(): Promise<void> {
+        const { peers, members, clock } = this.options;
+        this.registrations.add(peers.onMessage(received => {
+            this.receivePeer(received);
+        }));
+        this.registrations.add(members.onChange(() => {
+            this.pull();
+        }));
+        let cancel = () => {};
+        const next = () => {
+            cancel = clock.schedule(TICK_MS, () => {
+                next();
+                this.tick();
+            });
+        };
+        next();
+        this.registrations.add({
+            dispose: () => {
+                cancel();
+            },
+        });
+        await this.head?.poll();
+        this.pull();
+    }
+
+    /** Refusal of all work while this process has no document; undefined once it has one. */
+    public refusal(): Fault | undefined {
+        return this.options.store.revision > 0 ? undefined : new Fault(
+            FaultCode.NoConfiguration,
+            "this entry has no configuration yet",
+            Verdict.NotRun,
+            RETRY_AFTER_MS,
+        );
+    }
+
+    /** Writes a section if it still has revision `base`; 0 for a section that does not exist yet. */
+    public put(team: string, base: number, body: unknown): Promise<ChangeResult> {
+        return this.writer?.put(team, base, body) ?? noStore();
+    }
+
+    /** Deletes a section if it still has revision `base`. */
+    public delete(team: string, base: number): Promise<ChangeResult> {
+        return this.writer?.delete(team, base) ?? noStore();
+    }
+
+    /** Finds out whether the change with this token was applied; rejects while the store cannot be used. */
+    public settle(token: WriteToken): Promise<Settlement> {
+        return this.rows === undefined
+            ? Promise.reject(new Fault(FaultCode.StoreUnavailable, "no store is configured", Verdict.MayHaveRun))
+            : settle(this.rows, token);
+    }
+
+    /** Faults that a valid section has beside the sections of the other teams. */
+    public clashes(section: TeamSection): readonly ConfigurationFault[] {
+        return this.writer?.clashes(section) ?? [];
+    }
+
+    /** Which revision is in force where, as far as this entry knows. */
+    public status(): ConfigurationStatus {
+        const { store, members, agents, id } = this.options;
+        const toHolder = (holder: { readonly id: string; readonly revision: number; }) => {
+            return { id: holder.id, revision: holder.id === id ? store.revision : holder.revision };
+        };
+        const entryRows = members.rows().map(toHolder);
+        const agentRows = agents.attached().map(({ id: agent, revision }) => ({ id: agent, revision }));
+        const holders = [...entryRows, ...agentRows];
+        const stored = this.head?.lastRevision;
+        const newest = Math.max(stored ?? 0, store.revision, ...holders.map(holder => holder.revision));
+        return {
+            newest,
+            stored,
+            storedAgeMs: this.head?.ageMs(),
+            entries: entryRows,
+            agents: agentRows,
+            lagging: holders.filter(holder => holder.revision < newest).map(holder => holder.id),
+        };
+    }
+
+    /** Handles `pull` and `configuration` from a peer or an agent. */
+    public receive(
+        message: MessageOf<"pull" | "configuration">,
+        sender: string,
+        reply: (message: Message) => boolean,
+    ): void {
+        const { store, log } = this.options;
+        if (message.kind === "pull") {
+            reply(store.changesSince(message.since));
+            return;
+        }
+        const before = store.revision;
+        for (const team of store.adopt(message.revision, message.sections)) {
+            log.write(StateEvent.SectionInvalid, { team, sender });
+        }
+        if (store.revision > before) {
+            log.write(StateEvent.ConfigurationAdopted, { revision: store.revision, from: sender });
+            this.pull();
+        }
+    }
+
+    public dispose(): void {
+        this.registrations.dispose();
+    }
+
+    private receivePeer({ message, peer, reply }: PeerMessage): void {
+        if (message.kind === "members") {
+            this.heardAt = this.options.clock.now();
+            return;
+        }
+        this.receive(message, peer.id, reply);
+    }
+
+    private tick(): void {
+        if (this.mustPoll()) {
+            void this.head?.poll();
+        }
+        this.pull();
+        this.push();
+    }
+
+    private mustPoll(): boolean {
+        const now = this.options.clock.now();
+        const ids = this.options.members.live().map(member => member.id);
+        const pollers = rendezvousRank("config", ids).slice(0, POLLERS);
+        return pollers.includes(this.options.id)
+            || now - this.heardAt > SILENCE_MS
+            || now - (this.head?.polledAt ?? 0) > VERIFY_MS;
+    }
+
+    /** Asks a peer that reports a newer revision, or else an agent, for what is missing here. */
+    private pull(): void {
+        const { store, members, peers, agents, id, log } = this.options;
+        const request = { kind: "pull", since: store.revision } as const;
+        const peer = this.pick(members.rows().filter(row => row.id !== id && row.revision > store.revision));
+        if (peer !== undefined) {
+            void peers.send(peer.address, request).then(sent => {
+                if (!sent) {
+                    log.write(StateEvent.PullFailed, { peer: peer.id });
+                }
+            });
+            return;
+        }
+        const agent = this.pick(agents.attached().filter(({ revision }) => revision > store.revision));
+        agent?.send(request);
+    }
+
+    /** Sends each attached agent what it lacks according to its last heartbeat. */
+    private push(): void {
+        const { store, agents, clock } = this.options;
+        const now = clock.now();
+        const attached = agents.attached();
+        const ids = new Set(attached.map(agent => agent.id));
+        for (const id of [...this.pushes.keys()].filter(known => !ids.has(known))) {
+            this.pushes.delete(id);
+        }
+        for (const agent of attached.filter(({ revision }) => revision < store.revision)) {
+            const last = this.pushes.get(agent.id);
+            const isUnderWay = last?.revision === store.revision && now - last.at < PUSH_AGAIN_MS;
+            if (!isUnderWay && agent.send(store.changesSince(agent.revision))) {
+                this.pushes.set(agent.id, { revision: store.revision, at: now });
+            }
+        }
+    }
+
+    private pick<T>(candidates: readonly T[]): T | undefined {
+        return candidates[Math.floor(this.options.random.next() * candidates.length)];
+    }
+}
+
+function noStore(): Promise<ChangeResult> {
+    const fault = new Fault(FaultCode.StoreUnavailable, "no store is configured", Verdict.NotRun);
+    return Promise.resolve({ kind: "refused", fault });
+}
--- /dev/null
+++ b/src/entry/controllers/Membership.ts
@@ -0,0 +1,275 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
+import { Emitter } from "../../common/Emitter.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Random } from "../../common/Random.js";
+import { rendezvousRank } from "../../common/rendezvousRank.js";
+import type { Table } from "../../common/table/Table.js";
+import type { Member } from "../../common/wire/Member.js";
+import type { EntryIdentity } from "../EntryIdentity.js";
+import type { MemberRows } from "../MemberRows.js";
+import { Leases } from "../membership/Leases.js";
+import type { MemberChange } from "../membership/MemberChange.js";
+import { MemberTable } from "../membership/MemberTable.js";
+import type { PeerMessage } from "../PeerMessage.js";
+import type { PeerMessages } from "../PeerMessages.js";
+import { StateEvent } from "../StateEvent.js";
+
+const GOSSIP_INTERVAL_MS = 1000;
+const LEASE_INTERVAL_MS = 10_000;
+
+/** Every so many gossip rounds, an address that is not a live member is tried too, to join separated groups. */
+const INTRODUCE_EVERY_ROUNDS = 5;
+
+/** Rows in one message, about 200 bytes each. */
+const MAX_ROWS_PER_MESSAGE = 32;
+
+const CHANGE_EVENTS = {
+    joined: StateEvent.MemberJoined,
+    replaced: StateEvent.MemberReplaced,
+    draining: StateEvent.MemberDraining,
+} as const satisfies Record<MemberChange, unknown>;
+
+/** What the membership works with. */
+interface MembershipOptions {
+    readonly identity: EntryIdentity;
+    readonly peers: PeerMessages;
+    /** Absent when the entry has no platform; then only seeds introduce it. */
+    readonly table: Table | undefined;
+    /** `ip:port` of entries that introduce this one. */
+    readonly seeds: readonly string[];
+    /** Configuration revision in force here. */
+    readonly revision: () => number;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly log: Log;
+}
+
+/** Which entries of this region are live, by gossip; the store and the seeds only introduce entries to each other. */
+export class Membership implements MemberRows, Disposable {
+    private readonly changes = new Emitter<void>();
+    private readonly registrations = new DisposableStore();
+    private readonly table = new MemberTable();
+    private readonly leases: Leases | undefined;
+    private introductions: ReadonlySet<string>;
+    private counter = 1;
+    private round = 0;
+    private draining = false;
+    private disposed = false;
+
+    public readonly onChange = this.changes.event;
+
+    constructor(private readonly options: MembershipOptions) {
+        const { table, identity, clock, log } = options;
+        this.leases = table === undefined ? undefined : new Leases(table, identity.current.region, clock, log);
+        this.introductions = new Set(options.seeds);
+    }
+
+    /** Begins to gossip and to renew the lease row. It does not wait for the store. */
+    public start(): void {
+        this.registrations.add(this.options.peers.onMessage(received => {
+            this.receive(received);
+        }));
+        this.repeat(GOSSIP_INTERVAL_MS, () => {
+            this.gossip();
+        });
+        this.repeat(LEASE_INTERVAL_MS, () => {
+            void this.renewLease();
+        });
+        this.gossip();
+        void this.renewLease();
+    }
+
+    public live(): readonly Member[] {
+        return this.rows().filter(row => !row.draining);
+    }
+
+    public rows(): readonly Member[] {
+        return [this.self(), ...this.table.live()];
+    }
+
+    public home(service: string, shard: number): Member | undefined {
+        const live = this.live();
+        const key = `${this.self().region}/${service}/${shard}`;
+        const best = rendezvousRank(key, live.map(row => row.id))[0];
+        return live.find(row => row.id === best);
+    }
+
+    /** Tells the others that this entry takes no new work. */
+    public drain(): void {
+        if (this.draining) {
+            return;
+        }
+        this.draining = true;
+        this.counter += 1;
+        for (const row of this.table.live()) {
+            this.sendRows(row.address);
+        }
+        void this.renewLease();
+        this.changes.fire();
+    }
+
+    /** Stops and deletes the lease row; the others notice by the silence. */
+    public async leave(): Promise<void> {
+        this.dispose();
+        await this.leases?.remove(this.self().id);
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.registrations.dispose();
+        this.changes.dispose();
+    }
+
+    private self(): Member {
+        const { id, address, incarnation, region, failureDomain } = this.options.identity.current;
+        return {
+            id,
+            address,
+            incarnation,
+            region,
+            failureDomain,
+            counter: this.counter,
+            draining: this.draining,
+            revision: this.options.revision(),
+        };
+    }
+
+    private repeat(intervalMs: number, work: () => void): void {
+        let cancel = () => {};
+        const next = () => {
+            cancel = this.options.clock.schedule(intervalMs, () => {
+                next();
+                work();
+            });
+        };
+        next();
+        this.registrations.add({
+            dispose: () => {
+                cancel();
+            },
+        });
+    }
+
+    private gossip(): void {
+        this.counter += 1;
+        this.round += 1;
+        this.expire();
+        const live = this.table.live();
+        const peer = this.pick(live.map(row => row.address));
+        if (peer !== undefined) {
+            this.sendRows(peer);
+        }
+        if (peer === undefined || this.round % INTRODUCE_EVERY_ROUNDS === 0) {
+            this.introduce(live);
+        }
+    }
+
+    private introduce(live: readonly Member[]): void {
+        const known = new Set([this.self().address, ...live.map(row => row.address)]);
+        const address = this.pick([...this.introductions].filter(candidate => !known.has(candidate)));
+        if (address !== undefined) {
+            this.sendRows(address);
+        }
+    }
+
+    private expire(): void {
+        const died = this.table.expire(this.options.clock.now());
+        for (const { id, incarnation } of died) {
+            this.options.log.write(StateEvent.MemberLeft, { id, incarnation });
+        }
+        if (died.length > 0) {
+            this.changes.fire();
+        }
+    }
+
+    private sendRows(address: string): void {
+        void this.options.peers.send(address, { kind: "members", rows: this.selectRows(this.table.live()) });
+    }
+
+    /** This entry's row and a random choice of `others`, up to the size of one message. */
+    private selectRows(others: readonly Member[]): readonly Member[] {
+        const pool = [...others];
+        const rows = [this.self()];
+        while (pool.length > 0 && rows.length < MAX_ROWS_PER_MESSAGE) {
+            rows.push(...pool.splice(Math.floor(this.options.random.next() * pool.length), 1));
+        }
+        return rows;
+    }
+
+    /**
+     * Merges received rows. A message with the sender's own row begins an exchange and is answered with what the sender
+     * lacks; the answer leaves out the own row, so an exchange ends there.
+     */
+    private receive({ message, peer, reply }: PeerMessage): void {
+        if (message.kind !== "members" || this.disposed) {
+            return;
+        }
+        const rows = message.rows.slice(0, MAX_ROWS_PER_MESSAGE);
+        this.mergeAll(rows);
+        const newer = this.newerThan(rows);
+        if (newer.length > 0 && rows.some(row => row.id === peer.id)) {
+            reply({ kind: "members", rows: newer });
+        }
+    }
+
+    /** Rows of other entries that are missing from `received` or older there. */
+    private newerThan(received: readonly Member[]): readonly Member[] {
+        const sent = new Map(received.map(row => [row.id, row]));
+        return this.table.live()
+            .filter(row => {
+                const other = sent.get(row.id);
+                return other === undefined || this.table.isBehind(other);
+            })
+            .slice(0, MAX_ROWS_PER_MESSAGE);
+    }
+
+    private mergeAll(rows: readonly Member[]): void {
+        let changed = false;
+        for (const row of rows) {
+            changed = this.merge(row) || changed;
+        }
+        if (changed) {
+            this.changes.fire();
+        }
+    }
+
+    private merge(row: Member): boolean {
+        const self = this.self();
+        if (row.region !== self.region) {
+            return false;
+        }
+        if (row.id === self.id) {
+            this.outrun(row, self);
+            return false;
+        }
+        const change = this.table.merge(row, this.options.clock.now());
+        if (change === undefined) {
+            return false;
+        }
+        this.options.log.write(CHANGE_EVENTS[change], { id: row.id, incarnation: row.incarnation });
+        return true;
+    }
+
+    /** A row of an earlier incarnation of this entry must not win over the current one. */
+    private outrun(row: Member, self: Member): void {
+        if (row.incarnation === self.incarnation || row.counter < self.counter) {
+            return;
+        }
+        this.counter = row.counter + 1;
+        this.options.log.write(StateEvent.IdContested, { id: row.id, incarnation: row.incarnation });
+    }
+
+    /** Addresses of entries that are gone leave the introductions with their lease rows. */
+    private async renewLease(): Promise<void> {
+        const rows = await this.leases?.renew(this.self());
+        if (rows !== undefined) {
+            this.introductions = new Set([...this.options.seeds, ...rows.map(row => row.address)]);
+        }
+    }
+
+    private pick(addresses: readonly string[]): string | undefined {
+        return addresses[Math.floor(this.options.random.next() * addresses.length)];
+    }
+}
--- /dev/null
+++ b/src/entry/membership/Leases.ts
@@ -0,0 +1,96 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Row } from "../../common/table/Row.js";
+import type { Table } from "../../common/table/Table.js";
+import type { Member } from "../../common/wire/Member.js";
+import { StateEvent } from "../StateEvent.js";
+
+/** A lease row that has not changed for this time belongs to a dead entry and is deleted. */
+const EXPIRE_MS = 60_000;
+
+interface Seen {
+    readonly revision: number;
+    readonly since: number;
+}
+
+/** Lease rows `entries/<region>/<id>` in the table service, which introduce entries to each other. */
+export class Leases {
+    private readonly seen = new Map<string, Seen>();
+    private busy = false;
+
+    constructor(
+        private readonly table: Table,
+        private readonly region: string,
+        private readonly clock: Clock,
+        private readonly log: Log,
+    ) {}
+
+    /**
+     * Writes this entry's row, deletes rows of dead entries and returns the rows of the others; returns undefined while
+     * the store is unavailable or an earlier renewal still waits for it.
+     */
+    public async renew(own: Member): Promise<readonly Member[] | undefined> {
+        if (this.busy) {
+            return undefined;
+        }
+        this.busy = true;
+        try {
+            await this.table.transact({ conditions: [], writes: [{ key: this.keyOf(own.id), value: own }] });
+            const rows = await this.table.list(this.keyOf(""));
+            const others = rows.filter(row => row.key !== this.keyOf(own.id));
+            const expired = this.findExpired(others);
+            await this.delete(expired);
+            return others.filter(row => !expired.includes(row)).map(row => row.value as Member);
+        }
+        catch (error) {
+            this.log.write(StateEvent.LeaseFailed, { reason: String(error) });
+            return undefined;
+        }
+        finally {
+            this.busy = false;
+        }
+    }
+
+    /** Deletes this entry's row before it leaves. */
+    public async remove(id: string): Promise<void> {
+        try {
+            await this.table.transact({ conditions: [], writes: [{ key: this.keyOf(id), value: undefined }] });
+        }
+        catch (error) {
+            this.log.write(StateEvent.LeaseFailed, { reason: String(error) });
+        }
+    }
+
+    private findExpired(rows: readonly Row[]): readonly Row[] {
+        const now = this.clock.now();
+        const keys = new Set(rows.map(row => row.key));
+        for (const key of [...this.seen.keys()].filter(known => !keys.has(known))) {
+            this.seen.delete(key);
+        }
+        return rows.filter(row => {
+            const before = this.seen.get(row.key);
+            if (before?.revision !== row.revision) {
+                this.seen.set(row.key, { revision: row.revision, since: now });
+                return false;
+            }
+            return now - before.since > EXPIRE_MS;
+        });
+    }
+
+    /** The condition keeps a row that its owner wrote meanwhile. */
+    private async delete(rows: readonly Row[]): Promise<void> {
+        for (const { key, revision } of rows) {
+            const deleted = await this.table.transact({
+                conditions: [{ key, revision }],
+                writes: [{ key, value: undefined }],
+            });
+            if (deleted) {
+                this.log.write(StateEvent.LeaseExpired, { key });
+            }
+        }
+    }
+
+    private keyOf(id: string): string {
+        return `entries/${this.region}/${id}`;
+    }
+}
