--- /dev/null
+++ b/src/entry/Entry.ts
@@ -0,0 +1,229 @@
+import type { RunningRole } from "../common/RunningRole.js";
+import type { Runtime } from "../common/Runtime.js";
+import type { EntrySettings } from "../common/settings/EntrySettings.js";
+import { TicketCodec } from "../common/ticket/TicketCodec.js";
+import type { Channel } from "../common/wire/Channel.js";
+import { dial } from "../common/wire/dial.js";
+import type { Identity } from "../common/wire/Identity.js";
+import { Listener } from "../common/wire/Listener.js";
+import { Role } from "../common/wire/Role.js";
+import { assembleState, type EntryState } from "./assembleState.js";
+import { Agents } from "./controllers/Agents.js";
+import { Jobs } from "./controllers/Jobs.js";
+import { Relay } from "./controllers/Relay.js";
+import { Settlement } from "./controllers/Settlement.js";
+import { Stories } from "./controllers/Stories.js";
+import { Tickets } from "./controllers/Tickets.js";
+import { EntryEvent } from "./EntryEvent.js";
+import { EntryIdentity } from "./EntryIdentity.js";
+import { HttpServer } from "./HttpServer.js";
+import { OwnedClock } from "./OwnedClock.js";
+import { createScheduler } from "./policy/createScheduler.js";
+import { createApp } from "./routes/createApp.js";
+import { jobRoutes } from "./routes/jobRoutes.js";
+import { operatorRoutes } from "./routes/operatorRoutes.js";
+import { ticketRoutes } from "./routes/ticketRoutes.js";
+
+/** How often a drain looks whether its jobs have ended. */
+const DRAIN_POLL_MS = 20;
+
+interface Sockets {
+    readonly listener: Listener;
+    readonly http: HttpServer;
+}
+
+/** Entry process: takes jobs from callers and places their tasks on agents. */
+export class Entry implements RunningRole {
+    private readonly state: EntryState;
+    private readonly stories: Stories;
+    private readonly agents: Agents;
+    private readonly tickets: Tickets;
+    private readonly settlement: Settlement;
+    private readonly jobs: Jobs;
+    private readonly relay: Relay;
+    private sockets: Sockets | undefined;
+    private draining = false;
+
+    private readonly runtime: Runtime;
+    private readonly clock: OwnedClock;
+
+    private constructor(
+        private readonly settings: EntrySettings,
+        outerRuntime: Runtime,
+        private readonly ownIdentity: EntryIdentity,
+    ) {
+        this.clock = new OwnedClock(outerRuntime.clock);
+        const runtime = { ...outerRuntime, clock: this.clock };
+        this.runtime = runtime;
+        const { clock, log, random } = runtime;
+        this.state = assembleState(settings, runtime, ownIdentity);
+        const { peers, members, configuration } = this.state;
+        const dialer = (address: string) => dial(address, ownIdentity.current, settings.secret, log);
+        const codec = new TicketCodec(settings.secret);
+        this.stories = new Stories(settings.id, log);
+        this.settlement = new Settlement({ clock, dial: dialer, stories: this.stories });
+        this.agents = new Agents({
+            clock,
+            log,
+            members,
+            dial: dialer,
+            queued: service => this.jobs.queued(service),
+            revision: () => configuration.revision,
+        });
+        this.tickets = new Tickets({
+            clock,
+            log,
+            random,
+            identity: ownIdentity,
+            members,
+            peers,
+            configuration,
+            codec,
+            attached: service => this.agents.attached(service),
+        });
+        this.jobs = new Jobs({
+            clock,
+            identity: ownIdentity,
+            configuration,
+            agents: this.agents,
+            tickets: this.tickets,
+            stories: this.stories,
+            gather: ticket => this.settlement.gather(ticket),
+            createScheduler: () => createScheduler(settings.scheduler),
+        });
+        const { jobs, settlement, stories } = this;
+        this.relay = new Relay({ clock, identity: ownIdentity, peers, codec, jobs, settlement, stories });
+        this.watchFences();
+    }
+
+    public static async start(settings: EntrySettings, runtime: Runtime): Promise<Entry> {
+        const own: { identity?: EntryIdentity; } = {};
+        const listener = await Listener.listen({
+            ...settings.listen,
+            maxConnections: settings.maxConnections,
+            identity: () => {
+                if (own.identity === undefined) {
+                    throw new Error("the entry is still starting");
+                }
+                return own.identity.current;
+            },
+            secret: settings.secret,
+            log: runtime.log,
+        });
+        const address = settings.advertise ?? `${settings.listen.host}:${listener.port}`;
+        const { id, region, failureDomain } = settings;
+        own.identity = new EntryIdentity({ id, region, failureDomain, address });
+        const entry = new Entry(settings, runtime, own.identity);
+        await entry.open(listener);
+        return entry;
+    }
+
+    public get httpPort(): number {
+        return this.sockets?.http.port ?? 0;
+    }
+
+    public get wirePort(): number {
+        return this.sockets?.listener.port ?? 0;
+    }
+
+    public get identity(): Identity {
+        return this.ownIdentity.current;
+    }
+
+    /** Refuses new work, waits for the open jobs, closes the listeners, and reports what was left. */
+    public async drain(limitMs: number): Promise<readonly string[]> {
+        const { clock, log } = this.runtime;
+        const until = clock.now() + limitMs;
+        this.startDrain();
+        while (this.jobs.open > 0 && clock.now() < until) {
+            await this.pause();
+        }
+        const left = this.jobs.leftovers();
+        log.write(EntryEvent.DrainEnded, { left });
+        const closed = this.sockets?.http.close();
+        while (closed !== undefined && clock.now() < until && !await this.isSettled(closed)) {
+            // Answers to waiting callers are still being written.
+        }
+        this.agents.closeAll("entry is leaving");
+        return left;
+    }
+
+    public dispose(): Promise<void> {
+        this.sockets?.http.abort();
+        this.agents.dispose();
+        this.jobs.dispose();
+        this.state.dispose();
+        this.sockets?.listener.dispose();
+        this.clock.dispose();
+        return Promise.resolve();
+    }
+
+    private async open(listener: Listener): Promise<void> {
+        listener.onChannel(channel => {
+            this.accept(channel);
+        });
+        const { members, configuration } = this.state;
+        const app = createApp({
+            settings: this.settings,
+            clock: this.runtime.clock,
+            log: this.runtime.log,
+            draining: () => this.draining,
+            routes: [
+                ticketRoutes(this.tickets),
+                jobRoutes(this.relay),
+                operatorRoutes({
+                    members,
+                    configuration,
+                    agents: this.agents,
+                    queued: service => this.jobs.queued(service),
+                    startDrain: () => {
+                        this.startDrain();
+                    },
+                }),
+            ],
+        });
+        const http = await HttpServer.listen(app, this.settings.http);
+        this.sockets = { listener, http };
+        this.runtime.log.write(EntryEvent.Started, { http: http.port, wire: listener.port });
+    }
+
+    private accept(channel: Channel): void {
+        this.state.accept(channel);
+        if (channel.peer.role === Role.Agent) {
+            this.agents.accept(channel);
+        }
+    }
+
+    private startDrain(): void {
+        if (this.draining) {
+            return;
+        }
+        this.draining = true;
+        this.runtime.log.write(EntryEvent.DrainStarted, { openJobs: this.jobs.open });
+        this.tickets.drain();
+        this.jobs.drain();
+        this.agents.drain();
+        this.state.drain();
+    }
+
+    private watchFences(): void {
+        this.agents.onEvent(event => {
+            if (event.kind === "fenced" && event.issuer === this.ownIdentity.current.incarnation) {
+                this.runtime.log.write(EntryEvent.IssuerFenced, { issuer: event.issuer, agent: event.agent });
+                this.ownIdentity.renew();
+                void this.jobs.settleOpen();
+                this.agents.closeAll("the entry has a new incarnation");
+            }
+        });
+    }
+
+    private pause(): Promise<void> {
+        return new Promise(resolve => {
+            this.runtime.clock.schedule(DRAIN_POLL_MS, resolve);
+        });
+    }
+
+    private isSettled(promise: Promise<void>): Promise<boolean> {
+        return Promise.race([promise.then(() => true), this.pause().then(() => false)]);
+    }
+}
--- /dev/null
+++ b/src/entry/EntryEvent.ts
@@ -0,0 +1,38 @@
+import type { LogEvent } from "../common/log/LogEvent.js";
+import { LogLevel } from "../common/log/LogLevel.js";
+
+/** Log events 1000 to 1999: decisions of an entry. */
+export const EntryEvent = {
+    TicketsIssued: { number: 1001, level: LogLevel.Debug, text: "tickets issued" },
+    TicketsRelayed: { number: 1002, level: LogLevel.Debug, text: "tickets requested from the home entry" },
+    TicketsRefused: { number: 1003, level: LogLevel.Info, text: "ticket request refused" },
+    JobAccepted: { number: 1010, level: LogLevel.Debug, text: "job accepted" },
+    JobJoined: { number: 1011, level: LogLevel.Info, text: "submission joined the job of its ticket" },
+    JobRefused: { number: 1012, level: LogLevel.Info, text: "job refused" },
+    JobRelayed: { number: 1013, level: LogLevel.Debug, text: "request relayed to the issuer" },
+    JobComplete: { number: 1014, level: LogLevel.Debug, text: "job complete" },
+    JobFailed: { number: 1015, level: LogLevel.Info, text: "job failed" },
+    JobStopped: { number: 1016, level: LogLevel.Info, text: "job stopped, queued tasks are not run" },
+    AnswerDropped: { number: 1017, level: LogLevel.Info, text: "kept answer dropped" },
+    TaskPlaced: { number: 1020, level: LogLevel.Debug, text: "task placed" },
+    TaskEnded: { number: 1021, level: LogLevel.Debug, text: "attempt ended" },
+    TaskRequeued: { number: 1022, level: LogLevel.Info, text: "task queued again" },
+    FateUnknown: { number: 1023, level: LogLevel.Warn, text: "fate of the attempt is unknown" },
+    RevokeSent: { number: 1024, level: LogLevel.Info, text: "agent asked to resolve the attempt" },
+    StillRunning: { number: 1025, level: LogLevel.Info, text: "attempt is still running" },
+    AgentAttached: { number: 1030, level: LogLevel.Info, text: "agent attached" },
+    AgentDetached: { number: 1031, level: LogLevel.Info, text: "agent detached" },
+    AgentLost: { number: 1032, level: LogLevel.Warn, text: "agent incarnation is gone" },
+    AgentDraining: { number: 1033, level: LogLevel.Info, text: "agent is draining" },
+    AttachRefused: { number: 1034, level: LogLevel.Info, text: "attach refused" },
+    IssuerFenced: { number: 1040, level: LogLevel.Error, text: "incarnation was fenced, taking a new one" },
+    SettlementStarted: { number: 1041, level: LogLevel.Warn, text: "settlement of the ticket started" },
+    SettlementRecords: { number: 1042, level: LogLevel.Info, text: "agent answered with its records" },
+    SettlementNoRecords: { number: 1043, level: LogLevel.Warn, text: "records of the agent are not available" },
+    SettlementEnded: { number: 1044, level: LogLevel.Info, text: "settlement of the ticket ended" },
+    DrainStarted: { number: 1050, level: LogLevel.Info, text: "drain started" },
+    DrainEnded: { number: 1051, level: LogLevel.Info, text: "drain ended" },
+    RequestRefused: { number: 1060, level: LogLevel.Info, text: "request refused" },
+    RequestFailed: { number: 1061, level: LogLevel.Error, text: "request failed with an internal error" },
+    Started: { number: 1070, level: LogLevel.Info, text: "entry started" },
+} as const satisfies Record<string, LogEvent>;
--- /dev/null
+++ b/src/entry/controllers/AgentEvent.ts
@@ -0,0 +1,25 @@
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { AgentProfile } from "../policy/AgentProfile.js";
+
+/** What happens on the channels of attached agents. `agent` is the agent's incarnation. */
+export type AgentEvent =
+    | { readonly kind: "attached"; readonly service: string; readonly agent: string; readonly profile: AgentProfile; }
+    | { readonly kind: "detached"; readonly service: string; readonly agent: string; }
+    /** The agent's process is certainly gone: its address refuses connections or has another incarnation. */
+    | { readonly kind: "lost"; readonly service: string; readonly agent: string; }
+    | { readonly kind: "credit"; readonly service: string; readonly agent: string; readonly count: number; }
+    | { readonly kind: "reclaim"; readonly service: string; readonly agent: string; readonly count: number; }
+    | { readonly kind: "draining"; readonly service: string; readonly agent: string; }
+    | {
+        readonly kind: "outcome";
+        readonly service: string;
+        readonly agent: string;
+        readonly report: MessageOf<"outcome">;
+    }
+    | {
+        readonly kind: "revoked";
+        readonly service: string;
+        readonly agent: string;
+        readonly report: MessageOf<"revoked">;
+    }
+    | { readonly kind: "fenced"; readonly service: string; readonly agent: string; readonly issuer: string; };
--- /dev/null
+++ b/src/entry/controllers/AgentRecords.ts
@@ -0,0 +1,116 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Ticket } from "../../common/ticket/Ticket.js";
+import type { AgentAddress } from "../../common/wire/AgentAddress.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { Message } from "../../common/wire/Message.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { Outcome } from "../../common/wire/Outcome.js";
+import type { Dialer } from "./Dialer.js";
+import { isRefused } from "./isRefused.js";
+import type { Settled } from "./Settled.js";
+
+const MAX_TRIES = 3;
+const RETRY_DELAY_MS = 200;
+
+/** Time for an agent to answer `settle` with its records. */
+const RECORDS_TIMEOUT_MS = 2000;
+
+type Step = "done" | "gone" | "retry";
+
+/** Asks one agent for its records of one ticket and follows the tasks that are still running there. */
+export class AgentRecords {
+    private readonly outcomes = new Map<number, Outcome | undefined>();
+    private complete = false;
+    private answered = false;
+
+    constructor(
+        private readonly clock: Clock,
+        private readonly dial: Dialer,
+        private readonly ticket: Ticket,
+        private readonly agent: AgentAddress,
+        private readonly until: number,
+    ) {}
+
+    /** Always resolves; a lost or restarted agent gives incomplete records. */
+    public async fetch(): Promise<Settled> {
+        for (let tries = 1; tries <= MAX_TRIES; tries++) {
+            const step = await this.attempt();
+            if (step !== "retry") {
+                break;
+            }
+            await this.pause();
+        }
+        return { complete: this.complete, outcomes: this.outcomes };
+    }
+
+    private async attempt(): Promise<Step> {
+        let channel: Channel;
+        try {
+            channel = await this.dial(this.agent.address);
+        }
+        catch (error) {
+            return isRefused(error) ? "gone" : "retry";
+        }
+        if (channel.peer.incarnation !== this.agent.incarnation) {
+            channel.close("another incarnation");
+            return "gone";
+        }
+        const step = await this.follow(channel);
+        channel.close("settled");
+        return step;
+    }
+
+    private follow(channel: Channel): Promise<Step> {
+        const { issuer, sequence } = this.ticket;
+        return new Promise(resolve => {
+            let cancelTimer = this.clock.schedule(RECORDS_TIMEOUT_MS, () => {
+                resolve("retry");
+            });
+            channel.onClose(() => {
+                cancelTimer();
+                resolve("retry");
+            });
+            channel.onMessage(message => {
+                if (!this.concerns(message)) {
+                    return;
+                }
+                cancelTimer();
+                if (this.accept(message)) {
+                    resolve("done");
+                    return;
+                }
+                cancelTimer = this.clock.schedule(this.until - this.clock.now(), () => {
+                    resolve("done");
+                });
+            });
+            channel.send({ kind: "settle", issuer, sequence, agent: this.agent.incarnation });
+        });
+    }
+
+    private concerns(message: Message): message is MessageOf<"records"> | MessageOf<"outcome"> {
+        return (message.kind === "records" || message.kind === "outcome")
+            && message.issuer === this.ticket.issuer
+            && message.sequence === this.ticket.sequence;
+    }
+
+    /** Returns true when no task of the ticket runs on the agent any more. */
+    private accept(message: MessageOf<"records"> | MessageOf<"outcome">): boolean {
+        if (message.kind === "outcome") {
+            this.outcomes.set(message.outcome.task, message.outcome);
+        }
+        else {
+            this.answered = true;
+            this.complete = message.complete;
+            for (const record of message.tasks) {
+                this.outcomes.set(record.task, record.outcome ?? undefined);
+            }
+        }
+        return this.answered && [...this.outcomes.values()].every(outcome => outcome !== undefined);
+    }
+
+    private pause(): Promise<void> {
+        return new Promise(resolve => {
+            this.clock.schedule(RETRY_DELAY_MS, resolve);
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/Agents.ts
@@ -0,0 +1,262 @@
+import { match } from "ts-pattern";
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
+import { Emitter } from "../../common/Emitter.js";
+import type { Log } from "../../common/log/Log.js";
+import { WireEvent } from "../../common/log/WireEvent.js";
+import type { AgentAddress } from "../../common/wire/AgentAddress.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { Message } from "../../common/wire/Message.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import { EntryEvent } from "../EntryEvent.js";
+import type { MemberView } from "../MemberView.js";
+import type { AgentEvent } from "./AgentEvent.js";
+import type { AgentLink } from "./AgentLink.js";
+import { AgentSession } from "./AgentSession.js";
+import type { Dialer } from "./Dialer.js";
+import { isRefused } from "./isRefused.js";
+
+const HEARTBEAT_MS = 1000;
+const MISSED_HEARTBEATS = 3;
+const PROBE_INTERVAL_MS = 1000;
+
+/** Probes of a lost agent end after this time; jobs that wait for it end by their own deadlines. */
+const PROBE_LIMIT_MS = 600_000;
+
+interface Parts {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly members: MemberView;
+    readonly dial: Dialer;
+    /** Tasks waiting for a slot of the service, reported with each heartbeat. */
+    readonly queued: (service: string) => number;
+    readonly revision: () => number;
+}
+
+/** Channels of the attached agents: attach, heartbeats, and detection of lost and restarted agents. */
+export class Agents implements AgentLink, Disposable {
+    private readonly events = new Emitter<AgentEvent>();
+    private readonly sessions = new Map<string, AgentSession>();
+    private readonly channels = new Set<Channel>();
+    private readonly probes = new Map<string, () => void>();
+    private readonly registrations = new DisposableStore();
+    private cancelHeartbeat: () => void = () => undefined;
+    private draining = false;
+
+    public readonly onEvent = this.events.event;
+
+    constructor(private readonly parts: Parts) {
+        this.registrations.add(parts.members.onChange(() => {
+            this.sendMembers([...this.channels]);
+        }));
+        this.scheduleHeartbeat();
+    }
+
+    /** Takes over a channel from an agent; agents that only look for entries never attach. */
+    public accept(channel: Channel): void {
+        this.channels.add(channel);
+        channel.onClose(reason => {
+            this.channels.delete(channel);
+            this.detach(channel, reason);
+        });
+        channel.onMessage(message => {
+            this.receive(channel, message);
+        });
+        this.sendMembers([channel]);
+    }
+
+    public send(agent: string, message: Message): boolean {
+        return this.sessions.get(agent)?.channel.send(message) ?? false;
+    }
+
+    public mayRun(agent: string): boolean {
+        const session = this.sessions.get(agent);
+        return session === undefined ? this.probes.has(agent) : !session.draining;
+    }
+
+    /** Addresses of the agents of a service that are attached and not draining. */
+    public attached(service: string): readonly AgentAddress[] {
+        return [...this.sessions.values()]
+            .filter(session => session.service === service && !session.draining)
+            .map(session => ({ address: session.peer.address, incarnation: session.peer.incarnation }));
+    }
+
+    public counts(): Readonly<Record<string, number>> {
+        const counts: Record<string, number> = {};
+        for (const session of this.sessions.values()) {
+            counts[session.service] = (counts[session.service] ?? 0) + 1;
+        }
+        return counts;
+    }
+
+    /** Refuses further attaches; attached agents stay until their tasks have ended. */
+    public drain(): void {
+        this.draining = true;
+    }
+
+    /** Closes every channel, after a renewal of the incarnation or at the end. */
+    public closeAll(reason: string): void {
+        for (const channel of [...this.channels]) {
+            channel.close(reason);
+        }
+    }
+
+    public dispose(): void {
+        this.cancelHeartbeat();
+        this.registrations.dispose();
+        this.events.dispose();
+        for (const channel of [...this.channels]) {
+            channel.dispose();
+        }
+        for (const cancel of this.probes.values()) {
+            cancel();
+        }
+        this.probes.clear();
+    }
+
+    private sendMembers(channels: readonly Channel[]): void {
+        const rows = this.parts.members.live();
+        for (const channel of channels) {
+            channel.send({ kind: "members", rows });
+        }
+    }
+
+    private receive(channel: Channel, message: Message): void {
+        if (message.kind === "attach") {
+            this.attach(channel, message);
+            return;
+        }
+        const session = this.sessions.get(channel.peer.incarnation);
+        if (session?.channel !== channel) {
+            return;
+        }
+        session.heardAt = this.parts.clock.now();
+        this.dispatch(session, message);
+    }
+
+    private dispatch(session: AgentSession, message: Message): void {
+        const { service } = session;
+        const agent = session.peer.incarnation;
+        match(message)
+            .with({ kind: "credit" }, ({ count }) => {
+                this.events.fire({ kind: "credit", service, agent, count });
+            })
+            .with({ kind: "reclaim" }, ({ count }) => {
+                this.events.fire({ kind: "reclaim", service, agent, count });
+            })
+            .with({ kind: "outcome" }, report => {
+                this.events.fire({ kind: "outcome", service, agent, report });
+            })
+            .with({ kind: "revoked" }, report => {
+                this.events.fire({ kind: "revoked", service, agent, report });
+            })
+            .with({ kind: "fenced" }, ({ issuer }) => {
+                this.events.fire({ kind: "fenced", service, agent, issuer });
+            })
+            .with({ kind: "drain" }, ({ reason }) => {
+                session.draining = true;
+                this.parts.log.write(EntryEvent.AgentDraining, { agent: session.peer.id, reason });
+                this.events.fire({ kind: "draining", service, agent });
+            })
+            .otherwise(() => undefined);
+    }
+
+    private attach(channel: Channel, message: MessageOf<"attach">): void {
+        if (this.draining) {
+            this.parts.log.write(EntryEvent.AttachRefused, { agent: channel.peer.id, reason: "draining" });
+            channel.send({ kind: "attached", accepted: false, reason: "draining" });
+            return;
+        }
+        const { incarnation } = channel.peer;
+        const older = this.sessions.get(incarnation);
+        if (older?.channel === channel) {
+            return;
+        }
+        older?.channel.close("replaced by a newer attachment");
+        this.stopProbe(incarnation);
+        const session = new AgentSession(channel, message, this.parts.clock.now());
+        this.sessions.set(incarnation, session);
+        this.parts.log.write(EntryEvent.AgentAttached, { agent: channel.peer.id, service: message.service });
+        channel.send({ kind: "attached", accepted: true });
+        this.events.fire({ kind: "attached", service: session.service, agent: incarnation, profile: session.profile });
+    }
+
+    private detach(channel: Channel, reason: string): void {
+        const session = this.sessions.get(channel.peer.incarnation);
+        if (session?.channel !== channel) {
+            return;
+        }
+        this.sessions.delete(session.peer.incarnation);
+        this.parts.log.write(EntryEvent.AgentDetached, { agent: session.peer.id, reason });
+        this.scheduleProbe(session, 0, this.parts.clock.now() + PROBE_LIMIT_MS);
+        this.events.fire({ kind: "detached", service: session.service, agent: session.peer.incarnation });
+    }
+
+    /** Looks whether the agent still lives, until it attaches again or is certainly gone. */
+    private scheduleProbe(session: AgentSession, delayMs: number, until: number): void {
+        const agent = session.peer.incarnation;
+        if (this.parts.clock.now() >= until) {
+            this.probes.delete(agent);
+            return;
+        }
+        const cancel = this.parts.clock.schedule(delayMs, () => {
+            void this.isGone(session).then(gone => {
+                if (this.probes.get(agent) !== cancel) {
+                    return;
+                }
+                if (gone) {
+                    this.reportLost(session);
+                }
+                else {
+                    this.scheduleProbe(session, PROBE_INTERVAL_MS, until);
+                }
+            });
+        });
+        this.probes.set(agent, cancel);
+    }
+
+    private stopProbe(agent: string): void {
+        this.probes.get(agent)?.();
+        this.probes.delete(agent);
+    }
+
+    private reportLost(session: AgentSession): void {
+        const agent = session.peer.incarnation;
+        this.probes.delete(agent);
+        this.parts.log.write(EntryEvent.AgentLost, { agent: session.peer.id, incarnation: agent });
+        this.events.fire({ kind: "lost", service: session.service, agent });
+    }
+
+    private async isGone(session: AgentSession): Promise<boolean> {
+        try {
+            const channel = await this.parts.dial(session.peer.address);
+            const gone = channel.peer.incarnation !== session.peer.incarnation;
+            channel.close("probe");
+            return gone;
+        }
+        catch (error) {
+            return isRefused(error);
+        }
+    }
+
+    private scheduleHeartbeat(): void {
+        this.cancelHeartbeat = this.parts.clock.schedule(HEARTBEAT_MS, () => {
+            this.scheduleHeartbeat();
+            this.beat();
+        });
+    }
+
+    private beat(): void {
+        const oldest = this.parts.clock.now() - MISSED_HEARTBEATS * HEARTBEAT_MS;
+        const revision = this.parts.revision();
+        for (const session of [...this.sessions.values()]) {
+            if (session.heardAt < oldest) {
+                this.parts.log.write(WireEvent.HeartbeatLost, { peer: session.peer.id });
+                session.channel.dispose();
+                continue;
+            }
+            session.channel.send({ kind: "heartbeat", load: this.parts.queued(session.service), revision });
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/Dispatch.ts
@@ -0,0 +1,293 @@
+import { match } from "ts-pattern";
+import type { Clock } from "../../common/Clock.js";
+import type { ConfigurationView } from "../../common/configuration/ConfigurationView.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
+import { Fault } from "../../common/Fault.js";
+import { FaultCode } from "../../common/FaultCode.js";
+import type { JobRequest } from "../../common/job/JobRequest.js";
+import { Verdict } from "../../common/Verdict.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { Outcome } from "../../common/wire/Outcome.js";
+import { EntryEvent } from "../EntryEvent.js";
+import type { Assignment } from "../policy/Assignment.js";
+import { Disposition } from "../policy/Disposition.js";
+import type { QueuedTask } from "../policy/QueuedTask.js";
+import type { Scheduler } from "../policy/Scheduler.js";
+import type { AgentEvent } from "./AgentEvent.js";
+import type { AgentLink } from "./AgentLink.js";
+import { Fates } from "./Fates.js";
+import type { Job } from "./Job.js";
+import { resultOf } from "./resultOf.js";
+import { ServiceQueue } from "./ServiceQueue.js";
+import type { Stories } from "./Stories.js";
+import type { TaskResult } from "./TaskResult.js";
+
+/** Refusals that say nothing of the agent's health. */
+const HEALTH_NEUTRAL: ReadonlySet<string> = new Set([
+    FaultCode.NoSlot,
+    FaultCode.Draining,
+    FaultCode.TicketFenced,
+    FaultCode.IssuerFenced,
+    FaultCode.Duplicate,
+    FaultCode.Revoked,
+    FaultCode.Cancelled,
+    FaultCode.DeadlineExceeded,
+]);
+
+/** Refusals after which no agent would start a task of the job. */
+const ENDS_JOB: ReadonlySet<string> = new Set([FaultCode.TicketFenced, FaultCode.IssuerFenced]);
+
+interface Parts {
+    readonly clock: Clock;
+    readonly configuration: ConfigurationView;
+    readonly agents: AgentLink;
+    readonly stories: Stories;
+    readonly createScheduler: () => Scheduler;
+    readonly find: (key: string) => Job | undefined;
+    readonly open: () => readonly Job[];
+    readonly setResult: (job: Job, task: number, result: TaskResult) => void;
+    readonly stop: (job: Job, fault: Fault) => void;
+}
+
+/** Starts attempts where the schedulers say so and follows each to its end. */
+export class Dispatch implements Disposable {
+    private readonly queues = new Map<string, ServiceQueue>();
+    private readonly registrations = new DisposableStore();
+    private readonly fates: Fates;
+
+    constructor(private readonly parts: Parts) {
+        this.fates = new Fates(parts);
+        this.registrations.add(parts.agents.onEvent(event => {
+            this.handle(event);
+        }));
+        this.registrations.add(parts.configuration.onChange(() => {
+            for (const queue of this.queues.values()) {
+                queue.configure(parts.configuration);
+                queue.pump();
+            }
+        }));
+    }
+
+    public queued(service: string): number {
+        return this.queues.get(service)?.scheduler.queued ?? 0;
+    }
+
+    /** Offers the job to the scheduler; the caller calls `pump` once the job is registered. */
+    public admit(job: Job, request: JobRequest): Fault | undefined {
+        const now = this.parts.clock.now();
+        const { team } = job.ticket;
+        const { deadlineAt } = job;
+        const tasks = request.tasks.map((task, index): QueuedTask => ({
+            job: job.key,
+            task: index,
+            attempt: 1,
+            team,
+            declaredMs: task.sizeMs,
+            repeatable: task.repeatable,
+            enqueuedAt: now,
+            deadlineAt,
+        }));
+        const agents = new Set(job.ticket.agents.map(agent => agent.incarnation));
+        return this.queueOf(job.ticket.service).scheduler.admit({ job: job.key, team, deadlineAt, agents, tasks }, now);
+    }
+
+    public pump(service: string): void {
+        this.queueOf(service).pump();
+    }
+
+    /** Queued tasks of the job get the job's stop reason as their result. */
+    public withdrawAll(job: Job): void {
+        const now = this.parts.clock.now();
+        for (const task of this.queueOf(job.ticket.service).scheduler.withdraw(job.key, undefined, now)) {
+            this.parts.setResult(job, task, notRun(job));
+        }
+    }
+
+    /** Gives up on an open attempt and takes `result` as the task's result. */
+    public abandon(job: Job, task: number, result: TaskResult): void {
+        const open = job.openAttempt(task);
+        if (open === undefined) {
+            return;
+        }
+        const { scheduler } = this.queueOf(job.ticket.service);
+        const now = this.parts.clock.now();
+        const { attempt, agent } = open;
+        const { ok, verdict } = result;
+        scheduler.report({ job: job.key, task, attempt, agent, verdict, ok, runMs: 0, countsForHealth: false }, now);
+        scheduler.withdraw(job.key, task, now);
+        this.parts.stories.record(job.key, EntryEvent.TaskEnded, { task, attempt, agent, detail: result.verdict });
+        this.parts.setResult(job, task, result);
+    }
+
+    public dispose(): void {
+        this.registrations.dispose();
+        for (const queue of this.queues.values()) {
+            queue.dispose();
+        }
+    }
+
+    private handle(event: AgentEvent): void {
+        const { agent } = event;
+        const queue = this.queueOf(event.service);
+        const now = this.parts.clock.now();
+        match(event)
+            .with({ kind: "attached" }, ({ profile }) => {
+                queue.scheduler.addAgent(profile, now);
+                this.fates.resolve(agent);
+            })
+            .with({ kind: "detached" }, () => {
+                queue.scheduler.removeAgent(agent, now);
+                this.fates.loseSight(agent);
+            })
+            .with({ kind: "lost" }, () => {
+                this.declareLost(agent);
+                this.stopUnrunnable(event.service);
+            })
+            .with({ kind: "credit" }, ({ count }) => {
+                queue.scheduler.addCredits(agent, count, now);
+            })
+            .with({ kind: "reclaim" }, ({ count }) => {
+                this.release(queue.scheduler, agent, count);
+            })
+            .with({ kind: "draining" }, () => {
+                queue.scheduler.drainAgent(agent, now);
+                this.stopUnrunnable(event.service);
+            })
+            .with({ kind: "outcome" }, ({ report }) => {
+                if (report.credit) {
+                    queue.scheduler.addCredits(agent, 1, now);
+                }
+                this.takeOutcome(agent, report);
+            })
+            .with({ kind: "revoked" }, ({ report }) => {
+                this.fates.confirmRunning(agent, report);
+            })
+            .with({ kind: "fenced" }, () => undefined)
+            .exhaustive();
+        queue.pump();
+    }
+
+    private queueOf(service: string): ServiceQueue {
+        const existing = this.queues.get(service);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const queue = new ServiceQueue(
+            service,
+            this.parts.createScheduler(),
+            this.parts.clock,
+            assignment => {
+                this.start(assignment);
+            },
+            task => {
+                this.expire(task);
+            },
+        );
+        queue.configure(this.parts.configuration);
+        this.queues.set(service, queue);
+        return queue;
+    }
+
+    private start(assignment: Assignment): void {
+        const { agent, reason } = assignment;
+        const { task, attempt, deadlineAt, repeatable } = assignment.task;
+        const job = this.parts.find(assignment.task.job);
+        const request = job?.taskAt(task);
+        if (job === undefined || request === undefined) {
+            return;
+        }
+        const { issuer, sequence, service } = job.ticket;
+        job.begin(task, attempt, agent);
+        this.parts.stories.record(job.key, EntryEvent.TaskPlaced, { task, attempt, agent, detail: reason });
+        const { payload } = request;
+        const budgetMs = deadlineAt - this.parts.clock.now();
+        const key = { issuer, sequence, task, attempt };
+        const queued = this.queued(service);
+        const sent = this.parts.agents.send(agent, { kind: "start", ...key, payload, budgetMs, repeatable, queued });
+        if (!sent) {
+            const error = { code: FaultCode.Draining, message: "the agent's connection closed before the start" };
+            this.endAttempt(job, agent, { task, attempt, verdict: Verdict.NotRun, ok: false, error, runMs: 0 });
+        }
+    }
+
+    private expire(expired: QueuedTask): void {
+        const job = this.parts.find(expired.job);
+        if (job !== undefined && job.isQueued(expired.task)) {
+            const error = {
+                code: FaultCode.DeadlineExceeded,
+                message: "the deadline passed before the task was started",
+            };
+            this.parts.setResult(job, expired.task, { ok: false, verdict: Verdict.NotRun, error });
+        }
+    }
+
+    private takeOutcome(agent: string, report: MessageOf<"outcome">): void {
+        const job = this.parts.find(`${report.issuer}/${report.sequence}`);
+        const open = job?.openAttempt(report.outcome.task);
+        if (job !== undefined && open?.agent === agent && open.attempt === report.outcome.attempt) {
+            this.endAttempt(job, agent, report.outcome);
+        }
+    }
+
+    private endAttempt(job: Job, agent: string, reported: Outcome): void {
+        const outcome = honest(reported);
+        const { task, attempt, verdict, ok, runMs } = outcome;
+        const { scheduler } = this.queueOf(job.ticket.service);
+        const now = this.parts.clock.now();
+        const code = outcome.error?.code ?? "";
+        const countsForHealth = !HEALTH_NEUTRAL.has(code);
+        const disposition = scheduler.report(
+            { job: job.key, task, attempt, agent, verdict, ok, runMs, countsForHealth },
+            now,
+        );
+        const detail = ok ? "ok" : `${verdict} ${code}`;
+        this.parts.stories.record(job.key, EntryEvent.TaskEnded, { task, attempt, agent, detail });
+        job.closeAttempt(task);
+        if (ENDS_JOB.has(code)) {
+            this.parts.stop(job, new Fault(code as FaultCode, "another entry settled the ticket of this job"));
+        }
+        const requeued = disposition === Disposition.Requeued;
+        if (requeued && job.stopReason === undefined) {
+            this.parts.stories.record(job.key, EntryEvent.TaskRequeued, { task, attempt: attempt + 1 });
+            return;
+        }
+        if (requeued) {
+            scheduler.withdraw(job.key, task, now);
+        }
+        this.parts.setResult(job, task, resultOf(outcome));
+    }
+
+    private declareLost(agent: string): void {
+        this.fates.eachOpen(agent, (job, task, attempt) => {
+            const error = { code: FaultCode.AgentLost, message: "the agent's process ended" };
+            this.endAttempt(job, agent, { task, attempt, verdict: Verdict.MayHaveRun, ok: false, error, runMs: 0 });
+        });
+    }
+
+    /** Ends jobs that no agent of their ticket can run any more, instead of letting them wait for the deadline. */
+    private stopUnrunnable(service: string): void {
+        for (const job of this.parts.open().filter(open => open.ticket.service === service)) {
+            if (!job.ticket.agents.some(agent => this.parts.agents.mayRun(agent.incarnation))) {
+                this.parts.stop(job, new Fault(FaultCode.NoAgents, "every agent of the ticket is gone"));
+            }
+        }
+    }
+
+    private release(scheduler: Scheduler, agent: string, asked: number): void {
+        const count = Math.min(asked, scheduler.freeCredits(agent));
+        if (count > 0) {
+            scheduler.addCredits(agent, -count, this.parts.clock.now());
+            this.parts.agents.send(agent, { kind: "release", count });
+        }
+    }
+}
+
+function notRun(job: Job): TaskResult {
+    return { ok: false, verdict: Verdict.NotRun, error: job.stopReason };
+}
+
+/** A refusal as duplicate means that the agent has another attempt on record, so the task may have run. */
+function honest(outcome: Outcome): Outcome {
+    return outcome.error?.code === FaultCode.Duplicate ? { ...outcome, verdict: Verdict.MayHaveRun } : outcome;
+}
--- /dev/null
+++ b/src/entry/controllers/Job.ts
@@ -0,0 +1,118 @@
+import { createHash } from "node:crypto";
+import type { Answer } from "../../common/job/Answer.js";
+import { FailurePolicy } from "../../common/job/FailurePolicy.js";
+import type { JobRequest } from "../../common/job/JobRequest.js";
+import { JobState } from "../../common/job/JobState.js";
+import type { TaskRequest } from "../../common/job/TaskRequest.js";
+import type { Ticket } from "../../common/ticket/Ticket.js";
+import { Verdict } from "../../common/Verdict.js";
+import { buildAnswer } from "./buildAnswer.js";
+import type { TaskResult } from "./TaskResult.js";
+import { ticketKey } from "./ticketKey.js";
+
+/** Attempt that was started and has no result yet. `known` is false while its fate is unknown. */
+interface OpenAttempt {
+    readonly task: number;
+    readonly attempt: number;
+    readonly agent: string;
+    known: boolean;
+}
+
+/** One submission under its ticket: results and open attempts of its tasks, and its final answer. */
+export class Job {
+    public readonly key: string;
+    public readonly bodyHash: string;
+    public readonly stopOnFailure: boolean;
+    /** Resolves once, with the final answer. */
+    public readonly done: Promise<Answer>;
+    /** Set once no further task of the job may start. */
+    public stopReason: Answer["reason"];
+    private readonly results = new Map<number, TaskResult>();
+    private readonly attempts = new Map<number, OpenAttempt>();
+    private readonly taskCount: number;
+    private tasks: readonly TaskRequest[];
+    private resolveDone: (answer: Answer) => void = () => undefined;
+    private finalAnswer: Answer | undefined;
+
+    constructor(
+        public readonly ticket: Ticket,
+        private readonly ticketText: string,
+        request: JobRequest,
+        public readonly deadlineAt: number,
+    ) {
+        this.key = ticketKey(ticket);
+        this.bodyHash = Job.hash(request);
+        this.stopOnFailure = request.onFailure === FailurePolicy.Stop;
+        this.tasks = request.tasks;
+        this.taskCount = request.tasks.length;
+        this.done = new Promise(resolve => {
+            this.resolveDone = resolve;
+        });
+    }
+
+    /** Digest of what makes two submissions the same body; the deadline may differ between them. */
+    public static hash(request: JobRequest): string {
+        const body = JSON.stringify([request.service, request.onFailure, request.tasks]);
+        return createHash("sha256").update(body).digest("base64");
+    }
+
+    /** Final answer, or the running state. */
+    public get answer(): Answer {
+        return this.finalAnswer
+            ?? { ticket: this.ticketText, state: JobState.Running, verdict: Verdict.MayHaveRun, tasks: [] };
+    }
+
+    public get finished(): boolean {
+        return this.finalAnswer !== undefined;
+    }
+
+    public get open(): readonly OpenAttempt[] {
+        return [...this.attempts.values()];
+    }
+
+    public taskAt(index: number): TaskRequest | undefined {
+        return this.tasks[index];
+    }
+
+    /** True while the task waits in the queue. */
+    public isQueued(index: number): boolean {
+        return this.tasks[index] !== undefined && !this.results.has(index) && !this.attempts.has(index);
+    }
+
+    public begin(task: number, attempt: number, agent: string): void {
+        this.attempts.set(task, { task, attempt, agent, known: true });
+    }
+
+    public openAttempt(task: number): OpenAttempt | undefined {
+        return this.attempts.get(task);
+    }
+
+    /** Closes the open attempt of a task without a result. */
+    public closeAttempt(task: number): void {
+        this.attempts.delete(task);
+    }
+
+    /** Records the first result of a task; the last one makes the answer final. Returns true when that happened. */
+    public setResult(task: number, result: TaskResult): boolean {
+        this.attempts.delete(task);
+        if (this.finished || this.results.has(task)) {
+            return false;
+        }
+        this.results.set(task, result);
+        if (this.results.size < this.taskCount) {
+            return false;
+        }
+        this.finish();
+        return true;
+    }
+
+    private finish(): void {
+        const results = [...this.results].sort(([a], [b]) => a - b);
+        const failed = results.some(([, result]) => !result.ok);
+        const answer = buildAnswer(this.ticketText, results, failed ? this.stopReason : undefined);
+        this.finalAnswer = answer;
+        this.tasks = [];
+        this.results.clear();
+        this.resolveDone(answer);
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/Jobs.test.ts
@@ -0,0 +1,296 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Emitter } from "../../common/Emitter.js";
+import type { Answer } from "../../common/job/Answer.js";
+import type { JobRequest } from "../../common/job/JobRequest.js";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import type { Ticket } from "../../common/ticket/Ticket.js";
+import { VirtualClock } from "../../common/VirtualClock.js";
+import type { Message } from "../../common/wire/Message.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import { EntryIdentity } from "../EntryIdentity.js";
+import { FifoScheduler } from "../policy/FifoScheduler.js";
+import type { AgentEvent } from "./AgentEvent.js";
+import type { Job } from "./Job.js";
+import { Jobs } from "./Jobs.js";
+import { Stories } from "./Stories.js";
+import { TicketLedger } from "./TicketLedger.js";
+
+const SERVICE = "s";
+const AGENTS = ["agent0", "agent1"] as const;
+const DEADLINE_MS = 1000;
+const LIMITS = {
+    shards: 1,
+    maxTasksPerJob: 10,
+    maxPayloadBytes: 100,
+    maxDeadlineMs: 5000,
+    maxTaskMs: 1000,
+    maxQueuedTasks: 20,
+    reservedShare: 0,
+};
+const TEAM = { team: "t", weight: 1, quota: { maxTasks: 100 }, services: { [SERVICE]: LIMITS } };
+
+/** Jobs with two fake agents of two slots on a virtual clock. */
+class Bench {
+    public readonly clock = new VirtualClock();
+    public readonly jobs: Jobs;
+    public readonly sent: { readonly agent: string; readonly message: Message; }[] = [];
+    public readonly attached = new Set<string>();
+    private readonly events = new Emitter<AgentEvent>();
+    private readonly lost = new Set<string>();
+    private readonly identity = new EntryIdentity({ id: "e", region: "r", failureDomain: "f", address: "127.0.0.1:1" });
+    private readonly ledger = new TicketLedger(this.clock);
+
+    constructor() {
+        this.jobs = new Jobs({
+            clock: this.clock,
+            identity: this.identity,
+            configuration: {
+                revision: 1,
+                onChange: new Emitter<number>().event,
+                service: name => name === SERVICE ? LIMITS : undefined,
+                team: name => name === "t" ? TEAM : undefined,
+                services: () => [SERVICE],
+                teams: () => [TEAM],
+            },
+            agents: {
+                onEvent: this.events.event,
+                mayRun: agent => !this.lost.has(agent),
+                send: (agent, message) => {
+                    const open = this.attached.has(agent);
+                    if (open) {
+                        this.sent.push({ agent, message });
+                    }
+                    return open;
+                },
+            },
+            tickets: this.ledger,
+            stories: new Stories("e", new SilentLog()),
+            gather: () => Promise.resolve({ complete: false, outcomes: new Map() }),
+            createScheduler: () => new FifoScheduler(),
+        });
+        for (const agent of AGENTS) {
+            this.attach(agent);
+        }
+    }
+
+    public get starts(): readonly { readonly agent: string; readonly message: MessageOf<"start">; }[] {
+        return this.sent.filter((item): item is { agent: string; message: MessageOf<"start">; } => {
+            return item.message.kind === "start";
+        });
+    }
+
+    public ticket(): Ticket {
+        const { incarnation, address } = this.identity.current;
+        const agents = AGENTS.map(agent => ({ address, incarnation: agent }));
+        return { issuer: incarnation, address, sequence: this.ledger.issue(1), service: SERVICE, team: "t", agents };
+    }
+
+    public submit(ticket: Ticket, taskCount: number, more: Partial<JobRequest> = {}): Job {
+        return this.jobs.submit(ticket, request(taskCount, more)).unsafeCoerce();
+    }
+
+    public attach(agent: string): void {
+        if (this.lost.has(agent) || this.attached.has(agent)) {
+            return;
+        }
+        this.attached.add(agent);
+        const profile = { id: agent, worker: agent, rack: "k", failureDomain: "f", slots: 2 };
+        this.events.fire({ kind: "attached", service: SERVICE, agent, profile });
+        this.events.fire({ kind: "credit", service: SERVICE, agent, count: 2 });
+    }
+
+    public detach(agent: string): void {
+        if (this.attached.delete(agent)) {
+            this.events.fire({ kind: "detached", service: SERVICE, agent });
+        }
+    }
+
+    public lose(agent: string): void {
+        this.detach(agent);
+        this.lost.add(agent);
+        this.events.fire({ kind: "lost", service: SERVICE, agent });
+    }
+
+    public end(index: number, result: "ok" | "failed" | "not_run"): void {
+        const item = this.starts[index];
+        if (item === undefined || !this.attached.has(item.agent)) {
+            return;
+        }
+        const { issuer, sequence, task, attempt } = item.message;
+        const verdict = result === "not_run" ? "not_run" : "ran";
+        const outcome = { task, attempt, verdict, ok: result === "ok", output: `out${task}`, runMs: 1 } as const;
+        const report = { kind: "outcome", issuer, sequence, outcome, credit: true } as const;
+        this.events.fire({ kind: "outcome", service: SERVICE, agent: item.agent, report });
+    }
+}
+
+function request(taskCount: number, more: Partial<JobRequest> = {}): JobRequest {
+    const tasks = Array.from({ length: taskCount }, (_, index) => ({ payload: index, repeatable: false }));
+    return { ticket: "x", service: SERVICE, team: "t", deadlineMs: DEADLINE_MS, onFailure: "stop", tasks, ...more };
+}
+
+describe("Jobs", () => {
+    describe("submission", () => {
+        it("guards against a refusal that uses up the ticket", () => {
+            const bench = new Bench();
+            const ticket = bench.ticket();
+            const fault = bench.jobs.submit(ticket, request(11)).swap().unsafeCoerce();
+            assert.deepEqual([fault.code, fault.verdict, fault.path], ["never_runnable", "not_run", "tasks"]);
+            assert.equal(bench.submit(ticket, 1).finished, false);
+        });
+
+        it("guards against limits that are not enforced", () => {
+            const bench = new Bench();
+            const codes = [
+                request(1, { deadlineMs: 6000 }),
+                request(1, { tasks: [{ payload: "a".repeat(200), repeatable: false }] }),
+                request(1, { tasks: [{ payload: 1, sizeMs: 2000, repeatable: false }] }),
+            ].map(body => bench.jobs.submit(bench.ticket(), body).swap().unsafeCoerce().code);
+            assert.deepEqual(codes, ["never_runnable", "too_large", "never_runnable"]);
+        });
+
+        it("guards against starting a ticket after its answer was dropped", () => {
+            const bench = new Bench();
+            const ticket = bench.ticket();
+            bench.submit(ticket, 1);
+            bench.end(0, "ok");
+            bench.clock.advance(600_000);
+            const fault = bench.jobs.submit(ticket, request(1)).swap().unsafeCoerce();
+            assert.deepEqual([fault.code, fault.verdict], ["ticket_expired", "may_have_run"]);
+            assert.equal(bench.starts.length, 1);
+        });
+
+        it("guards against using a ticket that expired unused", () => {
+            const bench = new Bench();
+            const ticket = bench.ticket();
+            bench.clock.advance(600_000);
+            const fault = bench.jobs.submit(ticket, request(1)).swap().unsafeCoerce();
+            assert.deepEqual([fault.code, fault.verdict], ["ticket_expired", "not_run"]);
+        });
+    });
+
+    describe("failure", () => {
+        it("guards against running the rest of a job after a failure under the stop policy", () => {
+            const bench = new Bench();
+            const job = bench.submit(bench.ticket(), 6);
+            [0, 1, 2, 3].forEach(index => bench.end(index, index === 0 ? "failed" : "ok"));
+            assert.equal(bench.starts.length, 4);
+            assert.equal(job.answer.reason?.code, "stopped");
+            assert.deepEqual(job.answer.tasks.map(task => task.verdict).slice(4), ["not_run", "not_run"]);
+        });
+
+        it("guards against stopping under the continue policy", () => {
+            const bench = new Bench();
+            const job = bench.submit(bench.ticket(), 6, { onFailure: "continue" });
+            [0, 1, 2, 3, 4, 5].forEach(index => bench.end(index, index === 0 ? "failed" : "ok"));
+            assert.ok(job.answer.tasks.every(task => task.verdict === "ran"));
+            assert.equal(job.answer.state, "failed");
+        });
+
+        it("guards against waiting for the deadline when no agent of the ticket is left", () => {
+            const bench = new Bench();
+            const job = bench.submit(bench.ticket(), 6);
+            AGENTS.forEach(agent => bench.lose(agent));
+            assert.equal(job.answer.state, "failed");
+            assert.deepEqual(job.answer.tasks.map(task => task.verdict).slice(4), ["not_run", "not_run"]);
+        });
+    });
+
+    describe("any interleaving", () => {
+        const agent = fc.constantFrom(...AGENTS);
+        const step = fc.oneof(
+            fc.record({ kind: fc.constant("submit" as const), tasks: fc.integer({ min: 1, max: 6 }) }),
+            fc.record({
+                kind: fc.constant("end" as const),
+                index: fc.nat(12),
+                result: fc.constantFrom("ok" as const, "ok" as const, "failed" as const, "not_run" as const),
+            }),
+            fc.record({ kind: fc.constant("cancel" as const), job: fc.nat(3) }),
+            fc.record({ kind: fc.constantFrom("attach" as const, "detach" as const), agent }),
+            fc.record({ kind: fc.constant("lose" as const), agent }),
+            fc.record({ kind: fc.constant("advance" as const), ms: fc.integer({ min: 1, max: 1500 }) }),
+        );
+
+        function apply(bench: Bench, jobs: Job[], action: typeof step extends fc.Arbitrary<infer T> ? T : never): void {
+            switch (action.kind) {
+                case "submit":
+                    bench.jobs.submit(bench.ticket(), request(action.tasks)).ifRight(job => jobs.push(job));
+                    break;
+                case "end":
+                    bench.end(action.index, action.result);
+                    break;
+                case "cancel":
+                    if (jobs[action.job] !== undefined) {
+                        bench.jobs.cancel(jobs[action.job]!);
+                    }
+                    break;
+                case "advance":
+                    bench.clock.advance(action.ms);
+                    break;
+                default:
+                    bench[action.kind](action.agent);
+            }
+        }
+
+        function checkAnswer(answer: Answer): void {
+            const complete = answer.state === "complete";
+            assert.notEqual(answer.state, "running");
+            assert.deepEqual(answer.tasks.map(task => task.index), answer.tasks.map((_, index) => index));
+            for (const task of answer.tasks) {
+                assert.equal(task.output, complete ? `out${task.index}` : undefined);
+                assert.ok(!complete || task.error === undefined && task.verdict === "ran");
+            }
+        }
+
+        it("guards against lost, partial, changing or wrongly complete answers and against second starts", async () => {
+            await fc.assert(
+                fc.asyncProperty(fc.array(step, { maxLength: 40 }), async steps => {
+                    const bench = new Bench();
+                    const jobs: Job[] = [];
+                    const early = new Map<Job, Answer>();
+                    for (const action of steps) {
+                        apply(bench, jobs, action);
+                        jobs.filter(job => job.finished && !early.has(job)).forEach(job => early.set(job, job.answer));
+                    }
+                    bench.clock.advance(DEADLINE_MS + Jobs.graceMs);
+                    for (const job of jobs) {
+                        const answer = await job.done;
+                        checkAnswer(answer);
+                        assert.equal(early.get(job) ?? answer, job.answer);
+                    }
+                    assert.equal(bench.jobs.open, 0);
+                    const keys = bench.starts.map(({ message }) => {
+                        return `${message.sequence}/${message.task}/${message.attempt}`;
+                    });
+                    assert.equal(new Set(keys).size, keys.length);
+                }),
+                { seed: 7, numRuns: 500 },
+            );
+        });
+
+        it("guards against calling a started task not run without the agent's word", async () => {
+            await fc.assert(
+                fc.asyncProperty(fc.array(step, { maxLength: 40 }), async steps => {
+                    const bench = new Bench();
+                    const jobs: Job[] = [];
+                    const withoutRefusals = steps.filter(action =>
+                        action.kind !== "end" || action.result !== "not_run"
+                    );
+                    withoutRefusals.forEach(action => {
+                        apply(bench, jobs, action);
+                    });
+                    bench.clock.advance(DEADLINE_MS + Jobs.graceMs);
+                    for (const job of jobs) {
+                        const started = bench.starts.filter(({ message }) => message.sequence === job.ticket.sequence);
+                        const { tasks } = await job.done;
+                        const verdicts = new Set(started.map(({ message }) => tasks[message.task]?.verdict));
+                        assert.ok(!verdicts.has("not_run"));
+                    }
+                }),
+                { seed: 8, numRuns: 500 },
+            );
+        });
+    });
+});
--- /dev/null
+++ b/src/entry/controllers/Jobs.ts
@@ -0,0 +1,271 @@
+import { type Either, Left, Right } from "purify-ts/Either";
+import type { Clock } from "../../common/Clock.js";
+import type { ConfigurationView } from "../../common/configuration/ConfigurationView.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
+import { Fault } from "../../common/Fault.js";
+import { FaultCode } from "../../common/FaultCode.js";
+import type { Answer } from "../../common/job/Answer.js";
+import type { JobRequest } from "../../common/job/JobRequest.js";
+import { JobState } from "../../common/job/JobState.js";
+import type { Ticket } from "../../common/ticket/Ticket.js";
+import { Verdict } from "../../common/Verdict.js";
+import { EntryEvent } from "../EntryEvent.js";
+import type { EntryIdentity } from "../EntryIdentity.js";
+import type { Scheduler } from "../policy/Scheduler.js";
+import type { AgentLink } from "./AgentLink.js";
+import { Dispatch } from "./Dispatch.js";
+import { Job } from "./Job.js";
+import { KeptAnswers } from "./KeptAnswers.js";
+import { Limits } from "./Limits.js";
+import type { Settled } from "./Settled.js";
+import { settledResult } from "./settledResult.js";
+import type { Stories } from "./Stories.js";
+import type { TaskResult } from "./TaskResult.js";
+import { ticketKey } from "./ticketKey.js";
+import type { Tickets } from "./Tickets.js";
+
+/** Time after the deadline in which agents report the tasks that they aborted. */
+const GRACE_MS = 2000;
+
+interface Parts {
+    readonly clock: Clock;
+    readonly identity: EntryIdentity;
+    readonly configuration: ConfigurationView;
+    readonly agents: AgentLink;
+    readonly tickets: Pick<Tickets, "refusal" | "use">;
+    readonly stories: Stories;
+    readonly gather: (ticket: Ticket) => Promise<Settled>;
+    readonly createScheduler: () => Scheduler;
+}
+
+/** Jobs whose tickets this entry issued: open ones, and finished ones while their answers are kept. */
+export class Jobs implements Disposable {
+    public static readonly graceMs = GRACE_MS;
+    private readonly jobs = new Map<string, Job>();
+    private readonly openJobs = new Set<Job>();
+    private readonly kept: KeptAnswers;
+    private readonly limits: Limits;
+    private readonly dispatch: Dispatch;
+    private readonly timers = new Map<Job, () => void>();
+    private readonly registrations = new DisposableStore();
+    private draining = false;
+
+    constructor(private readonly parts: Parts) {
+        this.kept = new KeptAnswers(parts.clock, key => {
+            this.jobs.delete(key);
+            parts.stories.record(key, EntryEvent.AnswerDropped);
+        });
+        this.limits = new Limits(parts.configuration);
+        this.dispatch = this.registrations.add(
+            new Dispatch({
+                ...parts,
+                find: key => this.jobs.get(key),
+                open: () => [...this.openJobs],
+                setResult: (job, task, result) => {
+                    this.setResult(job, task, result);
+                },
+                stop: (job, fault) => {
+                    this.stop(job, fault);
+                },
+            }),
+        );
+    }
+
+    /** Number of jobs that have no final answer yet. */
+    public get open(): number {
+        return this.openJobs.size;
+    }
+
+    public queued(service: string): number {
+        return this.dispatch.queued(service);
+    }
+
+    /** One line for each open job, for a drain that ends before they do. */
+    public leftovers(): readonly string[] {
+        return [...this.openJobs].map(job =>
+            `job ${job.key} of ${job.ticket.service}: ${job.open.length} tasks running`
+        );
+    }
+
+    /** Takes a new job, joins the one that has the same ticket and body, or refuses. */
+    public submit(ticket: Ticket, request: JobRequest): Either<Fault, Job> {
+        const key = ticketKey(ticket);
+        const existing = this.find(key);
+        if (existing !== undefined) {
+            return this.join(existing, request);
+        }
+        const refusal = this.refusal(ticket, request);
+        if (refusal !== undefined) {
+            this.parts.stories.record(key, EntryEvent.JobRefused, { detail: `${refusal.code}: ${refusal.message}` });
+            return Left(refusal);
+        }
+        const job = new Job(ticket, request.ticket, request, this.parts.clock.now() + request.deadlineMs);
+        this.jobs.set(key, job);
+        this.openJobs.add(job);
+        const fault = this.dispatch.admit(job, request);
+        if (fault !== undefined) {
+            this.jobs.delete(key);
+            this.openJobs.delete(job);
+            this.parts.stories.record(key, EntryEvent.JobRefused, { detail: `${fault.code}: ${fault.message}` });
+            return Left(fault);
+        }
+        this.parts.tickets.use(ticket.sequence);
+        const detail = `${request.tasks.length} tasks of team ${ticket.team} for ${ticket.service}`;
+        this.parts.stories.record(key, EntryEvent.JobAccepted, { detail });
+        this.setDeadline(job);
+        this.dispatch.pump(ticket.service);
+        return Right(job);
+    }
+
+    /** Job of a ticket key while it is open or its answer is kept. */
+    public find(key: string): Job | undefined {
+        this.kept.sweep();
+        return this.jobs.get(key);
+    }
+
+    /** Reason why no job of the ticket is known here. */
+    public absence(ticket: Ticket): Fault {
+        if (ticket.issuer !== this.parts.identity.current.incarnation) {
+            return new Fault(FaultCode.IssuerLost, "this entry is not the issuer of the ticket", Verdict.MayHaveRun);
+        }
+        return this.parts.tickets.refusal(ticket.sequence)
+            ?? new Fault(FaultCode.NotFound, "no job was submitted under this ticket");
+    }
+
+    /** Withdraws queued tasks and asks the agents to abort running ones; the answer follows. */
+    public cancel(job: Job): void {
+        if (job.finished) {
+            return;
+        }
+        for (const agent of new Set(job.open.map(attempt => attempt.agent))) {
+            const { issuer, sequence } = job.ticket;
+            this.parts.agents.send(agent, { kind: "cancel", issuer, sequence });
+        }
+        this.stop(job, new Fault(FaultCode.Cancelled, "the caller cancelled the job"));
+        this.dispatch.pump(job.ticket.service);
+    }
+
+    /** Refuses new jobs from now on. */
+    public drain(): void {
+        this.draining = true;
+    }
+
+    /** Settles the open jobs of a fenced incarnation from the agents' records. */
+    public async settleOpen(): Promise<void> {
+        const fault = new Fault(FaultCode.IssuerFenced, "an agent fenced the issuing incarnation of this entry");
+        const jobs = [...this.openJobs];
+        await Promise.all(jobs.map(async job => {
+            this.stop(job, fault);
+            const settled = job.finished ? undefined : await this.parts.gather(job.ticket);
+            for (const { task } of settled === undefined ? [] : job.open) {
+                this.dispatch.abandon(job, task, settledResult(settled as Settled, task));
+            }
+        }));
+    }
+
+    public dispose(): void {
+        for (const cancel of this.timers.values()) {
+            cancel();
+        }
+        this.timers.clear();
+        this.registrations.dispose();
+    }
+
+    private join(job: Job, request: JobRequest): Either<Fault, Job> {
+        if (job.bodyHash !== Job.hash(request)) {
+            const message = "the ticket belongs to a job with another body; nothing of this body was run";
+            this.parts.stories.record(job.key, EntryEvent.JobRefused, { detail: FaultCode.TicketConflict });
+            return Left(new Fault(FaultCode.TicketConflict, message));
+        }
+        this.parts.stories.record(job.key, EntryEvent.JobJoined);
+        return Right(job);
+    }
+
+    private refusal(ticket: Ticket, request: JobRequest): Fault | undefined {
+        if (ticket.issuer !== this.parts.identity.current.incarnation) {
+            return new Fault(FaultCode.IssuerLost, "this entry is not the issuer of the ticket", Verdict.MayHaveRun);
+        }
+        const expired = this.parts.tickets.refusal(ticket.sequence);
+        if (expired !== undefined) {
+            return expired;
+        }
+        if (this.draining) {
+            return new Fault(FaultCode.Draining, "this entry is leaving; get a ticket elsewhere", Verdict.NotRun, 0);
+        }
+        if (ticket.service !== request.service) {
+            const message = `the ticket is for service ${ticket.service}`;
+            return new Fault(FaultCode.BadInput, message, Verdict.NotRun, undefined, "service");
+        }
+        return this.limits.refusal(request) ?? this.refuseWithoutAgents(ticket);
+    }
+
+    private refuseWithoutAgents(ticket: Ticket): Fault | undefined {
+        return ticket.agents.some(agent => this.parts.agents.mayRun(agent.incarnation))
+            ? undefined
+            : new Fault(FaultCode.NoAgents, "every agent of the ticket is gone; get a new ticket", Verdict.NotRun, 0);
+    }
+
+    private setDeadline(job: Job): void {
+        this.timers.set(
+            job,
+            this.parts.clock.schedule(job.deadlineAt - this.parts.clock.now(), () => {
+                this.reachDeadline(job);
+            }),
+        );
+    }
+
+    private reachDeadline(job: Job): void {
+        this.stop(job, new Fault(FaultCode.DeadlineExceeded, "the deadline passed before the task was started"));
+        for (const attempt of job.open.filter(open => !open.known)) {
+            this.abandon(job, attempt.task, FaultCode.AgentLost, "the agent was lost and did not return in time");
+        }
+        if (job.finished) {
+            return;
+        }
+        this.timers.set(
+            job,
+            this.parts.clock.schedule(GRACE_MS, () => {
+                for (const attempt of job.open) {
+                    this.abandon(job, attempt.task, FaultCode.DeadlineExceeded, "the task did not end by the deadline");
+                }
+            }),
+        );
+    }
+
+    private abandon(job: Job, task: number, code: FaultCode, message: string): void {
+        this.dispatch.abandon(job, task, { ok: false, verdict: Verdict.MayHaveRun, error: { code, message } });
+    }
+
+    /** Nothing more of the job starts; its queued tasks are not run. The first reason stays. */
+    private stop(job: Job, fault: Fault): void {
+        if (job.finished) {
+            return;
+        }
+        if (job.stopReason === undefined) {
+            job.stopReason = { code: fault.code, message: fault.message };
+            this.parts.stories.record(job.key, EntryEvent.JobStopped, { detail: `${fault.code}: ${fault.message}` });
+        }
+        this.dispatch.withdrawAll(job);
+    }
+
+    private setResult(job: Job, task: number, result: TaskResult): void {
+        if (job.setResult(task, result)) {
+            this.finish(job, job.answer);
+            return;
+        }
+        if (!result.ok && job.stopOnFailure && job.stopReason === undefined) {
+            const message = `task ${task} failed: ${result.error?.message ?? "no reason given"}`;
+            this.stop(job, new Fault(FaultCode.Stopped, message));
+        }
+    }
+
+    private finish(job: Job, answer: Answer): void {
+        this.timers.get(job)?.();
+        this.timers.delete(job);
+        this.openJobs.delete(job);
+        const event = answer.state === JobState.Complete ? EntryEvent.JobComplete : EntryEvent.JobFailed;
+        this.parts.stories.record(job.key, event, { detail: answer.reason?.message });
+        this.kept.add(job.key, answer);
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/Limits.ts
@@ -0,0 +1,56 @@
+import type { ConfigurationView } from "../../common/configuration/ConfigurationView.js";
+import { Fault } from "../../common/Fault.js";
+import { FaultCode } from "../../common/FaultCode.js";
+import type { JobRequest } from "../../common/job/JobRequest.js";
+import { Verdict } from "../../common/Verdict.js";
+
+/** Checks submissions against the configuration in force. */
+export class Limits {
+    constructor(private readonly configuration: ConfigurationView) {}
+
+    /** Returns the first limit that the submission breaks, with its path. */
+    public refusal(request: JobRequest): Fault | undefined {
+        const service = this.configuration.service(request.service);
+        if (service === undefined) {
+            return this.unknownService(request.service);
+        }
+        if (this.configuration.team(request.team) === undefined) {
+            return new Fault(FaultCode.Forbidden, `team ${request.team} has no configuration section`);
+        }
+        if (request.tasks.length > service.maxTasksPerJob) {
+            const message = `a job of ${request.service} has at most ${service.maxTasksPerJob} tasks`;
+            return never(message, "tasks");
+        }
+        if (request.deadlineMs > service.maxDeadlineMs) {
+            return never(`the longest deadline is ${service.maxDeadlineMs} ms`, "deadlineMs");
+        }
+        return taskRefusal(request, service.maxTaskMs, service.maxPayloadBytes);
+    }
+
+    /** Refusal of a service that is not registered, or of any service while there is no configuration. */
+    public unknownService(name: string): Fault | undefined {
+        if (this.configuration.service(name) !== undefined) {
+            return undefined;
+        }
+        return this.configuration.revision === 0
+            ? new Fault(FaultCode.NoConfiguration, "this entry has no configuration yet", Verdict.NotRun, 1000)
+            : new Fault(FaultCode.UnknownService, `service ${name} is not registered`, Verdict.NotRun);
+    }
+}
+
+function taskRefusal(request: JobRequest, maxTaskMs: number, maxPayloadBytes: number): Fault | undefined {
+    for (const [index, task] of request.tasks.entries()) {
+        if ((task.sizeMs ?? 0) > maxTaskMs) {
+            return never(`the longest declared size is ${maxTaskMs} ms`, `tasks[${index}].sizeMs`);
+        }
+        if (Buffer.byteLength(JSON.stringify(task.payload)) > maxPayloadBytes) {
+            const message = `the largest payload is ${maxPayloadBytes} bytes of JSON text`;
+            return new Fault(FaultCode.TooLarge, message, Verdict.NotRun, undefined, `tasks[${index}].payload`);
+        }
+    }
+    return undefined;
+}
+
+function never(message: string, path: string): Fault {
+    return new Fault(FaultCode.NeverRunnable, message, Verdict.NotRun, undefined, path);
+}
--- /dev/null
+++ b/src/entry/controllers/Stories.ts
@@ -0,0 +1,46 @@
+import type { StoryEntry } from "../../common/job/StoryEntry.js";
+import type { Log } from "../../common/log/Log.js";
+import type { LogEvent } from "../../common/log/LogEvent.js";
+
+/** Steps kept per job; a job of 400 tasks needs about 900 without retries. */
+const MAX_STEPS_PER_JOB = 2000;
+
+/** Steps kept in total; the oldest stories are dropped whole. */
+const MAX_STEPS = 200_000;
+
+type Details = Pick<StoryEntry, "task" | "attempt" | "agent" | "detail">;
+
+/** Ordered steps of each job for operators. Each step is also one log line. */
+export class Stories {
+    private readonly steps = new Map<string, StoryEntry[]>();
+    private total = 0;
+
+    constructor(private readonly source: string, private readonly log: Log) {}
+
+    /** Logs a decision about the job with the given ticket key and adds it to the job's story. */
+    public record(key: string, event: LogEvent, details: Details = {}): void {
+        this.log.write(event, { ticket: key, ...details });
+        const story = this.steps.get(key) ?? [];
+        this.steps.set(key, story);
+        if (story.length >= MAX_STEPS_PER_JOB) {
+            return;
+        }
+        story.push({ at: Date.now(), source: this.source, event: event.number, text: event.text, ...details });
+        this.total += 1;
+        this.dropOldest();
+    }
+
+    public get(key: string): readonly StoryEntry[] | undefined {
+        return this.steps.get(key);
+    }
+
+    private dropOldest(): void {
+        for (const [key, story] of this.steps) {
+            if (this.total <= MAX_STEPS) {
+                return;
+            }
+            this.steps.delete(key);
+            this.total -= story.length;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/resultOf.ts
@@ -0,0 +1,12 @@
+import { FaultCode } from "../../common/FaultCode.js";
+import type { Outcome } from "../../common/wire/Outcome.js";
+import type { TaskResult } from "./TaskResult.js";
+
+/** Turns the outcome of the last attempt of a task into the task's result. */
+export function resultOf(outcome: Outcome): TaskResult {
+    if (outcome.ok) {
+        return { ok: true, verdict: outcome.verdict, output: outcome.output };
+    }
+    const error = outcome.error ?? { code: FaultCode.EndpointFailed, message: "the endpoint reported a failure" };
+    return { ok: false, verdict: outcome.verdict, error };
+}
--- /dev/null
+++ b/src/entry/filters/HttpEnvironment.ts
@@ -0,0 +1,6 @@
+import type { Caller } from "./Caller.js";
+
+/** Values that the filters hand to the routes. */
+export interface HttpEnvironment {
+    readonly Variables: { readonly caller: Caller; };
+}
--- /dev/null
+++ b/src/entry/filters/refuseWhileDraining.ts
@@ -0,0 +1,15 @@
+import type { MiddlewareHandler } from "hono";
+import { Fault } from "../../common/Fault.js";
+import { FaultCode } from "../../common/FaultCode.js";
+import { Verdict } from "../../common/Verdict.js";
+import type { HttpEnvironment } from "./HttpEnvironment.js";
+
+/** Filter for requests that a leaving entry does not take. */
+export function refuseWhileDraining(draining: () => boolean): MiddlewareHandler<HttpEnvironment> {
+    return async (_context, next) => {
+        if (draining()) {
+            throw new Fault(FaultCode.Draining, "this entry is leaving; use another one", Verdict.NotRun, 0);
+        }
+        await next();
+    };
+}
--- /dev/null
+++ b/src/test/FakeAgent.ts
@@ -0,0 +1,120 @@
+import { DisposableStore } from "../common/DisposableStore.js";
+import { SilentLog } from "../common/log/SilentLog.js";
+import { newIncarnation } from "../common/newIncarnation.js";
+import { Verdict } from "../common/Verdict.js";
+import type { Channel } from "../common/wire/Channel.js";
+import { dial } from "../common/wire/dial.js";
+import type { Identity } from "../common/wire/Identity.js";
+import { Listener } from "../common/wire/Listener.js";
+import type { Message } from "../common/wire/Message.js";
+import type { MessageOf } from "../common/wire/MessageOf.js";
+import type { Outcome } from "../common/wire/Outcome.js";
+
+/** Agent for tests over real sockets: it does nothing by itself but attach, grant credits and keep what it was sent. */
+export class FakeAgent {
+    public readonly received: Message[] = [];
+    /** Called for each message from an entry, on attached and on other channels. */
+    public onMessage: (message: Message, channel: Channel) => void = () => undefined;
+    private readonly resources = new DisposableStore();
+    private channel: Channel | undefined;
+
+    private constructor(
+        public readonly identity: Identity,
+        private readonly secret: string,
+        listener: Listener,
+    ) {
+        this.resources.add(listener);
+        this.resources.add(listener.onChannel(channel => {
+            this.watch(channel);
+        }));
+    }
+
+    public static async start(secret: string, port = 0): Promise<FakeAgent> {
+        const fields = { role: "agent", id: "worker", incarnation: newIncarnation(), region: "r" } as const;
+        const holder: { identity: Identity; } = { identity: { ...fields, failureDomain: "f", address: "127.0.0.1:1" } };
+        const listener = await Listener.listen({
+            host: "127.0.0.1",
+            port,
+            maxConnections: 16,
+            identity: () => holder.identity,
+            secret,
+            log: new SilentLog(),
+        });
+        holder.identity = { ...holder.identity, address: `127.0.0.1:${listener.port}` };
+        return new FakeAgent(holder.identity, secret, listener);
+    }
+
+    public get port(): number {
+        return Number(this.identity.address.split(":")[1]);
+    }
+
+    /** Attaches to an entry and grants `credits`. */
+    public async attach(entryPort: number, service: string, credits: number): Promise<void> {
+        const channel = await dial(`127.0.0.1:${entryPort}`, this.identity, this.secret, new SilentLog());
+        this.channel = channel;
+        this.resources.add(channel);
+        this.watch(channel);
+        const attached = this.next("attached");
+        channel.send({ kind: "attach", service, rack: "k", slots: credits, connections: 64 });
+        channel.send({ kind: "credit", count: credits });
+        await attached;
+    }
+
+    public send(message: Message): void {
+        this.channel?.send(message);
+    }
+
+    /** Answers a start with success and the given output. */
+    public succeed(start: MessageOf<"start">, output: unknown): void {
+        this.report(start, FakeAgent.success(start, output));
+    }
+
+    /** Reports an outcome; the credit is granted again. */
+    public report(start: MessageOf<"start"> | MessageOf<"revoke">, outcome: Outcome): void {
+        const { issuer, sequence } = start;
+        this.send({ kind: "outcome", issuer, sequence, outcome, credit: true });
+    }
+
+    public static success(start: { readonly task: number; readonly attempt: number; }, output: unknown): Outcome {
+        const { task, attempt } = start;
+        return { task, attempt, verdict: Verdict.Ran, ok: true, output, runMs: 1 };
+    }
+
+    /** Answers every start with success. */
+    public echo(): void {
+        this.onMessage = message => {
+            if (message.kind === "start") {
+                this.succeed(message, message.payload);
+            }
+        };
+    }
+
+    /** Waits for the next message of a kind that has not been waited for. */
+    public async next<K extends Message["kind"]>(kind: K): Promise<MessageOf<K>> {
+        const index = () => this.received.findIndex(message => message.kind === kind);
+        while (index() < 0) {
+            await new Promise(resolve => setTimeout(resolve, 2));
+        }
+        return this.received.splice(index(), 1)[0] as MessageOf<K>;
+    }
+
+    public count(kind: Message["kind"]): number {
+        return this.received.filter(message => message.kind === kind).length;
+    }
+
+    /** Cuts the attached connection without a farewell. */
+    public cut(): void {
+        this.channel?.dispose();
+    }
+
+    public dispose(): void {
+        this.resources.dispose();
+    }
+
+    private watch(channel: Channel): void {
+        channel.onMessage(message => {
+            this.received.push(message);
+            this.onMessage(message, channel);
+        });
+    }
+}
