--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -1,3 +1,4 @@
+import { Emitter } from "../common/Emitter.js";
 import type { RunningRole } from "../common/RunningRole.js";
 import type { Runtime } from "../common/Runtime.js";
 import type { EntrySettings } from "../common/settings/EntrySettings.js";
@@ -43,6 +44,11 @@
     private readonly relay: Relay;
     private sockets: Sockets | undefined;
     private draining = false;
+    private drained: Promise<readonly string[]> | undefined;
+    private readonly drains = new Emitter<readonly string[]>();
+
+    /** Fires once the entry has left, also after a drain that was asked for over HTTP; with what was left. */
+    public readonly onDrained = this.drains.event;
 
     private readonly runtime: Runtime;
     private readonly clock: OwnedClock;
@@ -130,22 +136,13 @@
         return this.ownIdentity.current;
     }
 
-    /** Refuses new work, waits for the open jobs, closes the listeners, and reports what was left. */
-    public async drain(limitMs: number): Promise<readonly string[]> {
-        const { clock, log } = this.runtime;
-        const until = clock.now() + limitMs;
-        this.startDrain();
-        while (this.jobs.open > 0 && clock.now() < until) {
-            await this.pause();
-        }
-        const left = this.jobs.leftovers();
-        log.write(EntryEvent.DrainEnded, { left });
-        const closed = this.sockets?.http.close();
-        while (closed !== undefined && clock.now() < until && !await this.isSettled(closed)) {
-            // Answers to waiting callers are still being written.
-        }
-        this.agents.closeAll("entry is leaving");
-        return left;
+    /**
+     * Refuses new work, waits for the open jobs, closes the listeners, and reports what was left. A drain that runs
+     * already keeps its own limit.
+     */
+    public drain(limitMs: number): Promise<readonly string[]> {
+        this.drained ??= this.leave(limitMs);
+        return this.drained;
     }
 
     public dispose(): Promise<void> {
@@ -177,7 +174,7 @@
                     agents: this.agents,
                     queued: service => this.jobs.queued(service),
                     startDrain: () => {
-                        this.startDrain();
+                        void this.drain(this.settings.drainLimitMs);
                     },
                 }),
             ],
@@ -194,10 +191,33 @@
         }
     }
 
-    private startDrain(): void {
-        if (this.draining) {
-            return;
+    private async leave(limitMs: number): Promise<readonly string[]> {
+        const until = this.clock.now() + limitMs;
+        this.refuseNewWork();
+        while (this.jobs.open > 0 && this.clock.now() < until) {
+            await this.pause();
+        }
+        const left = this.jobs.leftovers();
+        await this.closeHttp(until);
+        this.agents.closeAll("entry is leaving");
+        this.runtime.log.write(EntryEvent.DrainEnded, { left });
+        this.drains.fire(left);
+        return left;
+    }
+
+    /** Lets answers to waiting callers be written. */
+    private async closeHttp(until: number): Promise<void> {
+        const http = { open: true };
+        void this.sockets?.http.close().then(() => {
+            http.open = false;
+        });
+        while (http.open && this.clock.now() < until) {
+            await this.pause();
+            this.sockets?.http.closeIdle();
         }
+    }
+
+    private refuseNewWork(): void {
         this.draining = true;
         this.runtime.log.write(EntryEvent.DrainStarted, { openJobs: this.jobs.open });
         this.tickets.drain();
@@ -222,8 +242,4 @@
             this.runtime.clock.schedule(DRAIN_POLL_MS, resolve);
         });
     }
-
-    private isSettled(promise: Promise<void>): Promise<boolean> {
-        return Promise.race([promise.then(() => true), this.pause().then(() => false)]);
-    }
 }
--- a/src/entry/HttpServer.ts
+++ b/src/entry/HttpServer.ts
@@ -37,10 +37,15 @@
                 resolve();
             });
         });
-        this.server.closeIdleConnections();
+        this.closeIdle();
         return closed;
     }
 
+    /** Closes kept-alive connections whose requests have been answered since `close`. */
+    public closeIdle(): void {
+        this.server.closeIdleConnections();
+    }
+
     /** Closes every connection at once. */
     public abort(): void {
         this.server.close();
--- /dev/null
+++ b/src/entry/controllers/Agents.test.ts
@@ -0,0 +1,138 @@
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import { Emitter } from "../../common/Emitter.js";
+import { Fault } from "../../common/Fault.js";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import { VirtualClock } from "../../common/VirtualClock.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { Identity } from "../../common/wire/Identity.js";
+import type { Message } from "../../common/wire/Message.js";
+import { Agents } from "./Agents.js";
+
+/** Channel without a socket. */
+class FakeChannel implements Channel {
+    public readonly sent: Message[] = [];
+    public open = true;
+    public readonly messages = new Emitter<Message>();
+    private readonly closes = new Emitter<string>();
+    public readonly onMessage = this.messages.event;
+    public readonly onClose = this.closes.event;
+
+    constructor(public readonly peer: Identity) {}
+
+    public send(message: Message): boolean {
+        if (this.open) {
+            this.sent.push(message);
+        }
+        return this.open;
+    }
+
+    public close(reason: string): void {
+        if (this.open) {
+            this.open = false;
+            this.closes.fire(reason);
+        }
+    }
+
+    public dispose(): void {
+        this.close("disposed");
+    }
+}
+
+function identityOf(incarnation: string): Identity {
+    return { role: "agent", id: "w", incarnation, region: "r", failureDomain: "f", address: "127.0.0.1:9" };
+}
+
+describe("Agents", () => {
+    let clock: VirtualClock;
+    let agents: Agents;
+    let kinds: string[];
+    let dial: () => Promise<Channel>;
+
+    beforeEach(() => {
+        clock = new VirtualClock();
+        kinds = [];
+        dial = () => Promise.reject(new Fault("protocol", "connect timed out"));
+        agents = new Agents({
+            clock,
+            log: new SilentLog(),
+            members: { live: () => [], home: () => undefined, onChange: new Emitter<void>().event },
+            dial: () => dial(),
+            queued: () => 3,
+            revision: () => 1,
+        });
+        agents.onEvent(event => kinds.push(event.kind));
+    });
+
+    function attach(incarnation = "i1"): FakeChannel {
+        const channel = new FakeChannel(identityOf(incarnation));
+        agents.accept(channel);
+        channel.messages.fire({ kind: "attach", service: "s", rack: "k", slots: 2, connections: 8 });
+        return channel;
+    }
+
+    async function advance(ms: number): Promise<void> {
+        clock.advance(ms);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+
+    it("guards against a half-open connection that keeps its agent", () => {
+        const channel = attach();
+        clock.advance(3000);
+        assert.ok(channel.sent.some(message => message.kind === "heartbeat" && message.load === 3));
+        clock.advance(1000);
+        assert.equal(channel.open, false);
+        assert.deepEqual(kinds, ["attached", "detached"]);
+    });
+
+    it("guards against closing a connection whose agent is heard", () => {
+        const channel = attach();
+        for (let second = 0; second < 10; second++) {
+            clock.advance(1000);
+            channel.messages.fire({ kind: "heartbeat", load: 0, revision: 0 });
+        }
+        assert.equal(channel.open, true);
+    });
+
+    it("guards against declaring an agent lost that is only unreachable", async () => {
+        attach().close("cut");
+        await advance(0);
+        await advance(1000);
+        assert.deepEqual(kinds, ["attached", "detached"]);
+        assert.ok(agents.mayRun("i1"));
+    });
+
+    it("guards against waiting for an agent whose address refuses connections", async () => {
+        dial = () => Promise.reject(new Fault("protocol", "connect ECONNREFUSED 127.0.0.1:9"));
+        attach().close("cut");
+        await advance(0);
+        assert.deepEqual(kinds, ["attached", "detached", "lost"]);
+        assert.ok(!agents.mayRun("i1"));
+    });
+
+    it("guards against waiting for an agent whose address has another incarnation", async () => {
+        dial = () => Promise.resolve(new FakeChannel(identityOf("i2")));
+        attach().close("cut");
+        await advance(0);
+        assert.equal(kinds.at(-1), "lost");
+    });
+
+    it("guards against two channels of one agent incarnation", () => {
+        const first = attach();
+        const second = attach();
+        assert.equal(first.open, false);
+        assert.deepEqual(kinds, ["attached", "detached", "attached"]);
+        first.messages.fire({ kind: "credit", count: 5 });
+        second.messages.fire({ kind: "credit", count: 1 });
+        assert.equal(kinds.filter(kind => kind === "credit").length, 1);
+    });
+
+    it("guards against new agents at a draining entry and against losing those with running tasks", () => {
+        attach().close("cut");
+        agents.drain();
+        attach("i1");
+        assert.equal(kinds.at(-1), "attached");
+        const refused = attach("i2");
+        assert.ok(refused.sent.some(message => message.kind === "attached" && !message.accepted));
+    });
+});
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -90,7 +90,7 @@
         return counts;
     }
 
-    /** Refuses further attaches; attached agents stay until their tasks have ended. */
+    /** Refuses new agents; attached ones stay until their tasks have ended, and may return after a lost connection. */
     public drain(): void {
         this.draining = true;
     }
@@ -163,7 +163,7 @@
     }
 
     private attach(channel: Channel, message: MessageOf<"attach">): void {
-        if (this.draining) {
+        if (this.draining && !this.probes.has(channel.peer.incarnation)) {
             this.parts.log.write(EntryEvent.AttachRefused, { agent: channel.peer.id, reason: "draining" });
             channel.send({ kind: "attached", accepted: false, reason: "draining" });
             return;
