Assemble the entry with membership, peers, configuration and the scheduler

Cause: the request path ran with a single static member and a baseline scheduler. Change: assembleState joins Membership, Peers, Configuration and their routes; TokenIndex serves both route groups; agents' configuration messages reach the controller.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -17,6 +17,7 @@
 import { Tickets } from "./controllers/Tickets.js";
 import { EntryEvent } from "./EntryEvent.js";
 import { EntryIdentity } from "./EntryIdentity.js";
+import { TokenIndex } from "./filters/TokenIndex.js";
 import { HttpServer } from "./HttpServer.js";
 import { OwnedClock } from "./OwnedClock.js";
 import { createScheduler } from "./policy/createScheduler.js";
@@ -36,6 +37,7 @@
 /** Entry process: takes jobs from callers and places their tasks on agents. */
 export class Entry implements RunningRole {
     private readonly state: EntryState;
+    private readonly tokens: TokenIndex;
     private readonly stories: Stories;
     private readonly agents: Agents;
     private readonly tickets: Tickets;
@@ -61,10 +63,12 @@
         this.clock = new OwnedClock(outerRuntime.clock);
         const runtime = { ...outerRuntime, clock: this.clock };
         this.runtime = runtime;
-        const { clock, log, random } = runtime;
-        this.state = assembleState(settings, runtime, ownIdentity);
+        const { clock, log, random, metrics } = runtime;
+        this.tokens = new TokenIndex(settings.tokens);
+        const attachedAgents = { attached: () => this.agents.all() };
+        this.state = assembleState(settings, runtime, ownIdentity, attachedAgents, this.tokens);
         const { peers, members, configuration } = this.state;
-        const dialer = (address: string) => dial(address, ownIdentity.current, settings.secret, log);
+        const dialer = (address: string) => dial(address, ownIdentity.current, settings.secret, log, metrics);
         const codec = new TicketCodec(settings.secret);
         this.stories = new Stories(settings.id, log);
         this.settlement = new Settlement({ clock, dial: dialer, stories: this.stories });
@@ -95,7 +99,7 @@
             tickets: this.tickets,
             stories: this.stories,
             gather: ticket => this.settlement.gather(ticket),
-            createScheduler: () => createScheduler(settings.scheduler),
+            createScheduler: () => createScheduler(settings.scheduler, random),
         });
         const { jobs, settlement, stories } = this;
         this.relay = new Relay({ clock, identity: ownIdentity, peers, codec, jobs, settlement, stories });
@@ -115,6 +119,7 @@
             },
             secret: settings.secret,
             log: runtime.log,
+            metrics: runtime.metrics,
         });
         const address = settings.advertise ?? `${settings.listen.host}:${listener.port}`;
         const { id, region, failureDomain } = settings;
@@ -162,6 +167,8 @@
         const { members, configuration } = this.state;
         const app = createApp({
             settings: this.settings,
+            tokens: this.tokens,
+            configurationRoutes: this.state.routes,
             clock: this.runtime.clock,
             log: this.runtime.log,
             draining: () => this.draining,
@@ -181,6 +188,7 @@
         });
         const http = await HttpServer.listen(app, this.settings.http);
         this.sockets = { listener, http };
+        await this.state.start();
         this.runtime.log.write(EntryEvent.Started, { http: http.port, wire: listener.port });
     }
 
@@ -228,6 +236,9 @@
 
     private watchFences(): void {
         this.agents.onEvent(event => {
+            if (event.kind === "state") {
+                this.state.changes.receive(event.message, event.agent, event.reply);
+            }
             if (event.kind === "fenced" && event.issuer === this.ownIdentity.current.incarnation) {
                 this.runtime.log.write(EntryEvent.IssuerFenced, { issuer: event.issuer, agent: event.agent });
                 this.ownIdentity.renew();
--- a/src/entry/assembleState.ts
+++ b/src/entry/assembleState.ts
@@ -1,72 +1,88 @@
-import type { ConfigurationView } from "../common/configuration/ConfigurationView.js";
-import type { TeamSection } from "../common/configuration/TeamSection.js";
+import type { Hono } from "hono";
+import { ConfigurationStore } from "../common/configuration/ConfigurationStore.js";
 import type { Disposable } from "../common/Disposable.js";
-import { Emitter } from "../common/Emitter.js";
-import { Fault } from "../common/Fault.js";
-import { FaultCode } from "../common/FaultCode.js";
+import { DisposableStore } from "../common/DisposableStore.js";
 import type { Runtime } from "../common/Runtime.js";
 import type { EntrySettings } from "../common/settings/EntrySettings.js";
-import { Verdict } from "../common/Verdict.js";
+import { HttpTable } from "../common/table/HttpTable.js";
 import type { Channel } from "../common/wire/Channel.js";
+import { Role } from "../common/wire/Role.js";
+import type { AttachedAgents } from "./AttachedAgents.js";
+import { Configuration } from "./controllers/Configuration.js";
+import { Membership } from "./controllers/Membership.js";
+import { Peers } from "./controllers/Peers.js";
 import type { EntryIdentity } from "./EntryIdentity.js";
-import type { MemberView } from "./MemberView.js";
-import type { PeerCalls } from "./PeerCalls.js";
+import type { TokenIndex } from "./filters/TokenIndex.js";
+import { configurationRoutes } from "./routes/configurationRoutes.js";
 
 /** Parts of an entry that know other entries and the configuration. */
 export interface EntryState extends Disposable {
-    readonly peers: PeerCalls;
-    readonly members: MemberView;
-    readonly configuration: ConfigurationView;
-    /** Sees every accepted channel, of entries and of agents. */
+    readonly peers: Peers;
+    readonly members: Membership;
+    readonly configuration: ConfigurationStore;
+    /** Operators' routes of the configuration. */
+    readonly routes: Hono;
+    readonly changes: Configuration;
+    /** Sees every accepted channel and takes those of other entries. */
     accept(channel: Channel): void;
+    /** Begins to gossip and to read the configuration. */
+    start(): Promise<void>;
     /** Marks this entry's member row as draining. */
     drain(): void;
 }
 
-const DEFAULT_SERVICE = {
-    shards: 1,
-    maxTasksPerJob: 400,
-    maxPayloadBytes: 65_536,
-    maxDeadlineMs: 600_000,
-    maxTaskMs: 600_000,
-    maxQueuedTasks: 20_000,
-    reservedShare: 0.2,
-};
-
-const DEFAULT_MAX_TASKS = 20_000;
-
-/**
- * Assembles a single entry: this entry is the only member, and each team of the settings owns one service with the
- * team's name and default limits.
- */
-export function assembleState(settings: EntrySettings, _runtime: Runtime, identity: EntryIdentity): EntryState {
-    const membersChanged = new Emitter<void>();
-    const configurationChanged = new Emitter<number>();
-    const teams = new Map(settings.tokens.map(({ team }) => [team, sectionOf(team)]));
-    const live = () => [{ ...identity.current, counter: 1, draining: false, revision: 1 }];
+/** Assembles membership, connections between entries, and the configuration. */
+export function assembleState(
+    settings: EntrySettings,
+    runtime: Runtime,
+    identity: EntryIdentity,
+    agents: AttachedAgents,
+    tokens: TokenIndex,
+): EntryState {
+    const { clock, log, random, metrics } = runtime;
+    const resources = new DisposableStore();
+    const table = settings.platform === undefined
+        ? undefined
+        : resources.add(new HttpTable(settings.platform.url, settings.platform.timeoutMs));
+    const configuration = new ConfigurationStore();
+    const peers = resources.add(new Peers(identity, settings.secret, clock, log, metrics));
+    const members = resources.add(
+        new Membership({
+            identity,
+            peers,
+            table,
+            seeds: settings.entries,
+            revision: () => configuration.revision,
+            clock,
+            random,
+            log,
+        }),
+    );
+    const changes = resources.add(
+        new Configuration({ store: configuration, table, members, peers, agents, id: settings.id, clock, random, log }),
+    );
+    const principal = (request: Request) => tokens.find(request.headers.get("authorization") ?? undefined);
     return {
-        peers: {
-            serve: () => ({ dispose: () => undefined }),
-            call: address => {
-                const message = `entry ${address} is not a member`;
-                return Promise.reject(new Fault(FaultCode.IssuerLost, message, Verdict.MayHaveRun));
-            },
+        peers,
+        members,
+        configuration,
+        changes,
+        routes: configurationRoutes({ configuration: changes, store: configuration, principal }),
+        accept: channel => {
+            if (channel.peer.role === Role.Entry) {
+                peers.accept(channel);
+            }
+        },
+        start: () => {
+            members.start();
+            return changes.start();
         },
-        members: { live, home: () => live()[0], onChange: membersChanged.event },
-        configuration: {
-            revision: 1,
-            onChange: configurationChanged.event,
-            service: name => teams.get(name)?.services[name],
-            team: name => teams.get(name),
-            services: () => [...teams.keys()],
-            teams: () => [...teams.values()],
+        drain: () => {
+            members.drain();
+        },
+        dispose: () => {
+            void members.leave();
+            resources.dispose();
         },
-        accept: () => undefined,
-        drain: () => undefined,
-        dispose: () => undefined,
     };
 }
-
-function sectionOf(team: string): TeamSection {
-    return { team, weight: 1, quota: { maxTasks: DEFAULT_MAX_TASKS }, services: { [team]: DEFAULT_SERVICE } };
-}
--- a/src/entry/controllers/AgentEvent.ts
+++ b/src/entry/controllers/AgentEvent.ts
@@ -1,3 +1,4 @@
+import type { Message } from "../../common/wire/Message.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import type { AgentProfile } from "../policy/AgentProfile.js";
 
@@ -22,4 +23,11 @@
         readonly agent: string;
         readonly report: MessageOf<"revoked">;
     }
+    | {
+        readonly kind: "state";
+        readonly service: string;
+        readonly agent: string;
+        readonly message: MessageOf<"configuration" | "pull">;
+        readonly reply: (message: Message) => boolean;
+    }
     | { readonly kind: "fenced"; readonly service: string; readonly agent: string; readonly issuer: string; };
--- a/src/entry/controllers/AgentSession.ts
+++ b/src/entry/controllers/AgentSession.ts
@@ -9,6 +9,8 @@
     public readonly service: string;
     public readonly profile: AgentProfile;
     public draining = false;
+    /** Configuration revision of the last heartbeat; 0 for none. */
+    public revision = 0;
 
     constructor(
         public readonly channel: Channel,
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -9,6 +9,7 @@
 import type { Channel } from "../../common/wire/Channel.js";
 import type { Message } from "../../common/wire/Message.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { AttachedAgent } from "../AttachedAgent.js";
 import { EntryEvent } from "../EntryEvent.js";
 import type { MemberView } from "../MemberView.js";
 import type { AgentEvent } from "./AgentEvent.js";
@@ -82,6 +83,15 @@
             .map(session => ({ address: session.peer.address, incarnation: session.peer.incarnation }));
     }
 
+    /** Every attached agent, for the distribution of the configuration. */
+    public all(): readonly AttachedAgent[] {
+        return [...this.sessions.values()].map(session => ({
+            id: session.peer.id,
+            revision: session.revision,
+            send: message => session.channel.send(message),
+        }));
+    }
+
     public counts(): Readonly<Record<string, number>> {
         const counts: Record<string, number> = {};
         for (const session of this.sessions.values()) {
@@ -151,6 +161,13 @@
             .with({ kind: "revoked" }, report => {
                 this.events.fire({ kind: "revoked", service, agent, report });
             })
+            .with({ kind: "heartbeat" }, ({ revision }) => {
+                session.revision = revision;
+            })
+            .with({ kind: "configuration" }, { kind: "pull" }, state => {
+                const reply = (answer: Message) => session.channel.send(answer);
+                this.events.fire({ kind: "state", service, agent, message: state, reply });
+            })
             .with({ kind: "fenced" }, ({ issuer }) => {
                 this.events.fire({ kind: "fenced", service, agent, issuer });
             })
--- a/src/entry/controllers/Peers.ts
+++ b/src/entry/controllers/Peers.ts
@@ -6,6 +6,7 @@
 import { Fault } from "../../common/Fault.js";
 import { FaultCode } from "../../common/FaultCode.js";
 import type { Log } from "../../common/log/Log.js";
+import type { Metrics } from "../../common/Metrics.js";
 import { Verdict } from "../../common/Verdict.js";
 import type { Channel } from "../../common/wire/Channel.js";
 import { dial } from "../../common/wire/dial.js";
@@ -39,6 +40,7 @@
         private readonly secret: string,
         private readonly clock: Clock,
         private readonly log: Log,
+        private readonly metrics?: Metrics,
     ) {
         this.registrations.add(identity.onRenew(() => {
             this.links.clear();
@@ -131,7 +133,7 @@
         const identity = this.identity.current;
         let channel: Channel;
         try {
-            channel = await dial(address, identity, this.secret, this.log);
+            channel = await dial(address, identity, this.secret, this.log, this.metrics);
         }
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
--- a/src/entry/filters/HttpEnvironment.ts
+++ b/src/entry/filters/HttpEnvironment.ts
@@ -1,6 +1,6 @@
-import type { Caller } from "./Caller.js";
+import type { Principal } from "../Principal.js";
 
 /** Values that the filters hand to the routes. */
 export interface HttpEnvironment {
-    readonly Variables: { readonly caller: Caller; };
+    readonly Variables: { readonly caller: Principal; };
 }
--- a/src/entry/routes/createApp.ts
+++ b/src/entry/routes/createApp.ts
@@ -10,17 +10,21 @@
 import { limitBody } from "../filters/limitBody.js";
 import { limitTime } from "../filters/limitTime.js";
 import { refuseWhileDraining } from "../filters/refuseWhileDraining.js";
+import type { TokenIndex } from "../filters/TokenIndex.js";
 
 /** Longest possible deadline of a job plus time to settle it. */
 const MAX_REQUEST_MS = 86_460_000;
 
 interface Parts {
-    readonly settings: Pick<EntrySettings, "tokens" | "maxBodyBytes">;
+    readonly settings: Pick<EntrySettings, "maxBodyBytes">;
+    readonly tokens: TokenIndex;
     readonly clock: Clock;
     readonly log: Log;
     readonly draining: () => boolean;
     /** Routes below /v1. */
     readonly routes: readonly Hono<HttpEnvironment>[];
+    /** Routes of the configuration, with their whole paths. */
+    readonly configurationRoutes: Hono;
 }
 
 /** Assembles the filter chain and the routes. */
@@ -36,11 +40,12 @@
         return context.json({ status: draining ? "draining" : "ok" }, draining ? 503 : 200);
     });
     app.use("/v1/*", limitTime(parts.clock, MAX_REQUEST_MS));
-    app.use("/v1/*", authenticate(parts.settings.tokens));
+    app.use("/v1/*", authenticate(parts.tokens));
     app.use("/v1/*", limitBody(parts.settings.maxBodyBytes));
     app.use("/v1/tickets", refuseWhileDraining(parts.draining));
     for (const routes of parts.routes) {
         app.route("/v1", routes);
     }
+    app.route("/", parts.configurationRoutes);
     return app;
 }
