--- a/src/agent/Attachments.ts
+++ b/src/agent/Attachments.ts
@@ -20,6 +20,9 @@
 /** Longest wait for the credits of a retiring attachment to be released, in milliseconds. */
 const RELEASE_WAIT_MS = 2000;
 
+/** An attachment that lasts this long, in milliseconds, ends the entry's run of failures. */
+const STABLE_MS = 10_000;
+
 /** Time that a seed has to send member rows, in milliseconds; after that the seed itself is used as an entry. */
 const MEMBERS_WAIT_MS = 1000;
 
@@ -166,7 +169,6 @@
 
     private attached(attachment: Attachment): void {
         attachment.enter("attached");
-        this.directory.succeeded(attachment.id);
         this.directory.add({ ...attachment.channel.peer });
         this.runtime.log.write(AgentEvent.Attached, { entry: attachment.id });
         this.slots.add(attachment.channel);
@@ -245,6 +247,9 @@
         this.slots.remove(attachment.channel);
         this.runtime.log.write(AgentEvent.Detached, { entry: attachment.id, reason, state: attachment.state });
         if (attachment.state === "attached") {
+            if (attachment.age > STABLE_MS) {
+                this.directory.succeeded(attachment.id);
+            }
             this.directory.failed(attachment.id);
         }
         this.check();
--- a/src/agent/EntryDirectory.ts
+++ b/src/agent/EntryDirectory.ts
@@ -3,7 +3,7 @@
 import { rendezvousRank } from "../common/rendezvousRank.js";
 import type { Member } from "../common/wire/Member.js";
 
-const FIRST_BACK_OFF_MS = 200;
+const FIRST_BACK_OFF_MS = 500;
 const MAX_BACK_OFF_MS = 5000;
 
 /** What an agent needs to know to reach an entry. */
--- a/src/agent/Records.ts
+++ b/src/agent/Records.ts
@@ -58,9 +58,9 @@
     }
 
     /** Records a start; call it only after `judge` has answered `start`, and before the endpoint is called. */
-    public begin(key: AttemptKey): void {
+    public begin(key: AttemptKey, repeatable: boolean): void {
         this.change(key.issuer, key.sequence, ticket => {
-            ticket.begin(key.task, key.attempt);
+            ticket.begin(key.task, key.attempt, repeatable);
         });
     }
 
--- /dev/null
+++ b/src/agent/Slots.test.ts
@@ -0,0 +1,130 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Slots } from "./Slots.js";
+
+/** Entries as they see their credits from the messages alone. */
+class Entries {
+    public readonly credits = new Map<string, number>();
+    public readonly asked = new Map<string, number>();
+    public readonly slots = new Slots<string>((key, message) => {
+        const counts = message.kind === "credit" ? this.credits : this.asked;
+        counts.set(key, (counts.get(key) ?? 0) + message.count);
+    });
+}
+
+const step = fc.record({
+    kind: fc.constantFrom(
+        "add",
+        "remove",
+        "start",
+        "start",
+        "finish",
+        "finish",
+        "release",
+        "report",
+        "resize",
+        "retire",
+    ),
+    key: fc.constantFrom("a", "b", "c"),
+    count: fc.nat(8),
+});
+
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+
+function run(steps: readonly Step[]): void {
+    const entries = new Entries();
+    const { slots, credits } = entries;
+    const present = new Set<string>();
+    const running: string[] = [];
+    let most = 8;
+    slots.resize(most);
+    for (const { kind, key, count } of steps) {
+        if (kind === "add" && !present.has(key)) {
+            present.add(key);
+            credits.set(key, 0);
+            slots.add(key);
+        }
+        else if (kind === "remove") {
+            present.delete(key);
+            credits.delete(key);
+            slots.remove(key);
+        }
+        else if (kind === "start" && slots.use(key, count)) {
+            running.push(key);
+            credits.set(key, (credits.get(key) ?? 0) - 1);
+        }
+        else if (kind === "finish" && running.length > 0) {
+            const owner = running.shift() ?? "";
+            if (slots.finish(owner)) {
+                assert.ok(present.has(owner), "a credit went to an entry that is gone");
+                credits.set(owner, (credits.get(owner) ?? 0) + 1);
+            }
+        }
+        else if (kind === "release") {
+            const released = Math.min(count, credits.get(key) ?? 0);
+            credits.set(key, (credits.get(key) ?? 0) - released);
+            slots.release(key, released);
+        }
+        else if (kind === "report") {
+            slots.report(key, count);
+        }
+        else if (kind === "resize") {
+            most = Math.max(count, slots.granted + slots.running);
+            slots.resize(count);
+        }
+        else if (kind === "retire") {
+            slots.retire(key);
+        }
+        assert.ok(slots.granted + slots.running <= most, `${slots.granted} + ${slots.running} exceed ${most} slots`);
+        for (const name of present) {
+            assert.equal(credits.get(name), slots.creditsOf(name), `entry ${name} counts other credits than the agent`);
+        }
+    }
+}
+
+describe("Slots", () => {
+    it("guards against more credits and running tasks than slots, and against diverging counts", () => {
+        fc.assert(fc.property(fc.array(step, { maxLength: 120 }), run), { seed: 11, numRuns: 1500 });
+    });
+
+    it("guards against idle slots when one entry is attached", () => {
+        const { slots, credits } = new Entries();
+        slots.add("a");
+        slots.resize(8);
+        assert.equal(credits.get("a"), 8);
+    });
+
+    it("guards against a freed slot at an entry without a queue while another one queues tasks", () => {
+        const { slots, credits } = new Entries();
+        slots.resize(1);
+        slots.add("a");
+        slots.add("b");
+        slots.use("a", 0);
+        slots.report("b", 5);
+        assert.equal(slots.finish("a"), false);
+        assert.equal(credits.get("b"), 1);
+    });
+
+    it("guards against starving an entry that joins: idle credits are asked back and passed on", () => {
+        const { slots, credits, asked } = new Entries();
+        slots.resize(8);
+        slots.add("a");
+        slots.add("b");
+        assert.equal(asked.get("a"), 4);
+        slots.release("a", 4);
+        assert.equal(credits.get("b"), 4);
+    });
+
+    it("guards against keeping credits at a home that was replaced", () => {
+        const { slots, asked, credits } = new Entries();
+        slots.resize(8);
+        slots.add("old");
+        slots.add("new");
+        slots.release("old", 4);
+        slots.retire("old");
+        assert.equal(asked.get("old"), 8);
+        slots.release("old", 4);
+        assert.equal(credits.get("new"), 8);
+    });
+});
--- a/src/agent/Tasks.ts
+++ b/src/agent/Tasks.ts
@@ -145,7 +145,7 @@
     }
 
     private run(channel: Channel, start: Start, key: AttemptKey, caller: Caller): void {
-        this.records.begin(key);
+        this.records.begin(key, start.repeatable);
         const running: RunningTask = { key, channel, abort: new AbortController() };
         this.tasks.add(running);
         this.log.write(AgentEvent.TaskStarted, { ...key, budgetMs: start.budgetMs });
--- a/src/agent/TicketRecords.ts
+++ b/src/agent/TicketRecords.ts
@@ -12,6 +12,7 @@
 
 interface AttemptRecord {
     readonly attempt: number;
+    readonly repeatable: boolean;
     /** Absent while the attempt runs. */
     outcome: Outcome | undefined;
     succeeded: boolean;
@@ -46,21 +47,23 @@
                 return { code: Code.Duplicate, message: `attempt ${record.attempt} of the task is running` };
             }
             const mayHaveRun = record.outcome.verdict !== Verdict.NotRun;
-            if (record.succeeded || (mayHaveRun && !repeatable)) {
+            if (record.succeeded || (mayHaveRun && !(repeatable && record.repeatable))) {
                 return { code: Code.Duplicate, message: `attempt ${record.attempt} of the task has run` };
             }
         }
         return undefined;
     }
 
-    public begin(task: number, attempt: number): void {
-        this.insert(task, { attempt, outcome: undefined, succeeded: false, delivered: false, bytes: RECORD_BYTES });
+    public begin(task: number, attempt: number, repeatable: boolean): void {
+        const fresh = { outcome: undefined, succeeded: false, delivered: false, bytes: RECORD_BYTES };
+        this.insert(task, { attempt, repeatable, ...fresh });
         this.running += 1;
     }
 
     public addTombstone(task: number, outcome: Outcome): void {
-        const attempt = outcome.attempt;
-        this.insert(task, { attempt, outcome, succeeded: false, delivered: true, bytes: RECORD_BYTES });
+        const { attempt } = outcome;
+        const kept = { succeeded: false, delivered: true, bytes: RECORD_BYTES };
+        this.insert(task, { attempt, repeatable: true, outcome, ...kept });
     }
 
     public finish(task: number, outcome: Outcome, outputBytes: number): void {
