Let the fake entry of the tests fall silent

Cause: the half-open test set a flag that the fake entry did not read, so heartbeats went on and the test waited for its limit. Change: the heartbeat timer of the fake entry obeys the flag. Conclusion: the test now exercises three missed heartbeats.

--- a/src/test/FakeEntry.ts
+++ b/src/test/FakeEntry.ts
@@ -51,10 +51,11 @@
         entry.listener.onChannel(channel => {
             entry.serve(channel);
         });
-        entry.heartbeat = setInterval(
-            () => entry.channel?.send({ kind: "heartbeat", load: entry.load, revision: 0 }),
-            HEARTBEAT_MS,
-        );
+        entry.heartbeat = setInterval(() => {
+            if (!entry.silent) {
+                entry.channel?.send({ kind: "heartbeat", load: entry.load, revision: 0 });
+            }
+        }, HEARTBEAT_MS);
         return entry;
     }
 
