--- a/src/platform/Platform.ts
+++ b/src/platform/Platform.ts
@@ -18,6 +18,7 @@
     private readonly rows = new Rows();
     private readonly objects = new Map<string, ArrayBuffer>();
     private readonly statistics = { reads: 0, writes: 0, refused: 0, lostReplies: 0 };
+    private readonly pauses = new Set<() => void>();
     private plan: FaultPlan = { mode: "up", delayMs: 0, loseReplies: 0 };
     private server: ServerType | undefined;
 
@@ -49,6 +50,9 @@
             return Promise.resolve();
         }
         this.runtime.log.write(PlatformEvent.Stopped);
+        for (const end of [...this.pauses]) {
+            end();
+        }
         return new Promise(resolve => {
             server.close(() => {
                 resolve();
@@ -152,9 +156,19 @@
         return response;
     }
 
+    /** Waits for `ms`; ends early when the stand-in stops. */
     private pause(ms: number): Promise<void> {
-        return ms === 0 ? Promise.resolve() : new Promise(resolve => {
-            this.runtime.clock.schedule(ms, resolve);
+        if (ms === 0) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const end = () => {
+                cancel();
+                this.pauses.delete(end);
+                resolve();
+            };
+            const cancel = this.runtime.clock.schedule(ms, end);
+            this.pauses.add(end);
         });
     }
 }
