Push the next part of a large document as soon as an agent reports progress

Cause: a push was repeated only after 3 s while the entry's revision stayed the same, so a document of several messages reached an agent at one message per 3 s. Change: a push is under way only while the agent still reports the revision that the push started from. Conclusion: the tests of entry, platform and src/test pass twice in a row; the large document itself has no test here.

--- a/src/entry/controllers/Configuration.ts
+++ b/src/entry/controllers/Configuration.ts
@@ -43,6 +43,13 @@
 
 const RETRY_AFTER_MS = 1000;
 
+/** Last push to an agent: its revision then, this entry's revision, and the time. */
+interface Push {
+    readonly from: number;
+    readonly to: number;
+    readonly at: number;
+}
+
 /** What the configuration works with. */
 interface ConfigurationOptions {
     readonly store: ConfigurationStore;
@@ -64,7 +71,7 @@
     private readonly rows: ConfigurationRows | undefined;
     private readonly head: HeadReader | undefined;
     private readonly writer: ConfigurationWriter | undefined;
-    private readonly pushes = new Map<string, { readonly revision: number; readonly at: number; }>();
+    private readonly pushes = new Map<string, Push>();
     private heardAt: number;
 
     constructor(private readonly options: ConfigurationOptions) {
@@ -236,9 +243,10 @@
         }
         for (const agent of attached.filter(({ revision }) => revision < store.revision)) {
             const last = this.pushes.get(agent.id);
-            const isUnderWay = last?.revision === store.revision && now - last.at < PUSH_AGAIN_MS;
+            const isSame = last?.from === agent.revision && last.to === store.revision;
+            const isUnderWay = isSame && now - last.at < PUSH_AGAIN_MS;
             if (!isUnderWay && agent.send(store.changesSince(agent.revision))) {
-                this.pushes.set(agent.id, { revision: store.revision, at: now });
+                this.pushes.set(agent.id, { from: agent.revision, to: store.revision, at: now });
             }
         }
     }
