--- /dev/null
+++ b/src/cli/AnswerBody.ts
@@ -0,0 +1,15 @@
+import * as z from "zod/mini";
+
+const verdict = z.enum(["not_run", "may_have_run", "ran"]);
+const reason = z.optional(z.object({ code: z.string(), message: z.string() }));
+
+/** Body of an answer to a job. */
+export const AnswerBody = z.object({
+    ticket: z.optional(z.string()),
+    state: z.enum(["running", "complete", "failed"]),
+    verdict,
+    reason,
+    tasks: z.array(z.object({ index: z.number(), verdict, output: z.optional(z.unknown()), error: reason })),
+});
+
+export type AnswerBody = z.infer<typeof AnswerBody>;
--- /dev/null
+++ b/src/cli/ExitCode.ts
@@ -0,0 +1,10 @@
+/** Exit codes of the command line. */
+export const ExitCode = {
+    Success: 0,
+    /** The job failed, the command was refused, or a stopped role left work behind. */
+    Failure: 1,
+    /** Wrong usage or faulty settings; nothing was done. */
+    Usage: 2,
+} as const;
+
+export type ExitCode = typeof ExitCode[keyof typeof ExitCode];
--- /dev/null
+++ b/src/cli/GracefulStop.ts
@@ -0,0 +1,91 @@
+import type { RunningRole } from "../common/RunningRole.js";
+import type { Runtime } from "../common/Runtime.js";
+import { CliEvent } from "./CliEvent.js";
+import { ExitCode } from "./ExitCode.js";
+import type { Terminal } from "./Terminal.js";
+
+/** Time that a role may take to report what is left once its drain limit has passed, in milliseconds. */
+const REPORT_LIMIT_MS = 1000;
+
+type DrainEnd = { readonly left: readonly string[]; } | "forced" | "limit" | "failed";
+
+/** Drains a role at the first signal and stops it at the second one or at the limit, whichever comes first. */
+export class GracefulStop {
+    constructor(
+        private readonly role: RunningRole,
+        private readonly runtime: Pick<Runtime, "clock" | "log">,
+        private readonly limitMs: number,
+    ) {}
+
+    /** Waits for a signal, then stops the role; a role that left work behind ends with `Failure`. */
+    public async run(terminal: Terminal): Promise<ExitCode> {
+        const { log } = this.runtime;
+        let onFirst: (signal: string) => void = () => undefined;
+        let onSecond: () => void = () => undefined;
+        let signals = 0;
+        const first = new Promise<string>(resolve => onFirst = resolve);
+        const second = new Promise<void>(resolve => onSecond = resolve);
+        const registration = terminal.onSignal(signal => {
+            signals += 1;
+            if (signals === 1) {
+                onFirst(signal);
+            }
+            else {
+                onSecond();
+            }
+        });
+        try {
+            log.write(CliEvent.DrainStarted, { signal: await first, limitMs: this.limitMs });
+            const left = await this.drain(second);
+            return this.report(left);
+        }
+        finally {
+            await this.role.dispose();
+            registration.dispose();
+        }
+    }
+
+    private async drain(forced: Promise<void>): Promise<readonly string[]> {
+        const end = await this.race([
+            this.drainRole(this.limitMs),
+            forced.then((): DrainEnd => "forced"),
+        ], this.limitMs + REPORT_LIMIT_MS);
+        if (typeof end === "object") {
+            return end.left;
+        }
+        const event = { forced: CliEvent.DrainForced, limit: CliEvent.DrainLimitPassed, failed: CliEvent.DrainFailed };
+        this.runtime.log.write(event[end]);
+        const rest = await this.race([this.drainRole(0)], REPORT_LIMIT_MS);
+        return typeof rest === "object" ? rest.left : ["work of unknown extent: the role did not report it"];
+    }
+
+    private async drainRole(limitMs: number): Promise<DrainEnd> {
+        try {
+            return { left: await this.role.drain(limitMs) };
+        }
+        catch {
+            return "failed";
+        }
+    }
+
+    private async race(ends: readonly Promise<DrainEnd>[], limitMs: number): Promise<DrainEnd> {
+        let cancel: () => void = () => undefined;
+        const limit = new Promise<DrainEnd>(resolve => {
+            cancel = this.runtime.clock.schedule(limitMs, () => resolve("limit"));
+        });
+        const end = await Promise.race([...ends, limit]);
+        cancel();
+        return end;
+    }
+
+    private report(left: readonly string[]): ExitCode {
+        for (const item of left) {
+            this.runtime.log.write(CliEvent.WorkLeft, { item });
+        }
+        if (left.length > 0) {
+            return ExitCode.Failure;
+        }
+        this.runtime.log.write(CliEvent.DrainCompleted);
+        return ExitCode.Success;
+    }
+}
--- /dev/null
+++ b/src/cli/describeAnswer.ts
@@ -0,0 +1,18 @@
+import type { AnswerBody } from "./AnswerBody.js";
+
+const MAX_OUTPUT_CHARS = 80;
+
+/** Lines for people about an answer: its state, then one line per task. */
+export function describeAnswer(answer: AnswerBody): readonly string[] {
+    const reason = answer.reason === undefined ? "" : `, ${answer.reason.code}: ${answer.reason.message}`;
+    return [
+        `${answer.state}, verdict ${answer.verdict}, ${answer.tasks.length} tasks${reason}`,
+        ...answer.tasks.map(describeTask),
+    ];
+}
+
+function describeTask(task: AnswerBody["tasks"][number]): string {
+    const output = task.output === undefined ? "" : ` ${JSON.stringify(task.output).slice(0, MAX_OUTPUT_CHARS)}`;
+    const error = task.error === undefined ? "" : ` ${task.error.code}: ${task.error.message}`;
+    return `  task ${task.index}: ${task.verdict}${output}${error}`;
+}
--- /dev/null
+++ b/src/cli/errorBody.ts
@@ -0,0 +1,8 @@
+import * as z from "zod/mini";
+
+/** Body of an HTTP error. */
+export const errorBody = z.object({
+    error: z.object({ code: z.string(), message: z.string(), path: z.optional(z.string()) }),
+    verdict: z.enum(["not_run", "may_have_run", "ran"]),
+    retryAfterMs: z.optional(z.number()),
+});
--- /dev/null
+++ b/src/cli/roles/RunningAgent.ts
@@ -0,0 +1,7 @@
+import type { RunningRole } from "../../common/RunningRole.js";
+
+/** Started agent with the ports that it listens on. */
+export interface RunningAgent extends RunningRole {
+    readonly port: number;
+    readonly announcePort: number;
+}
--- /dev/null
+++ b/src/cli/roles/RunningEntry.ts
@@ -0,0 +1,7 @@
+import type { RunningRole } from "../../common/RunningRole.js";
+
+/** Started entry with the ports that it listens on. */
+export interface RunningEntry extends RunningRole {
+    readonly httpPort: number;
+    readonly wirePort: number;
+}
--- /dev/null
+++ b/src/cli/runDemo.ts
@@ -0,0 +1,93 @@
+import type { Clock } from "../common/Clock.js";
+import type { DemoDeployment } from "./DemoDeployment.js";
+import { describeAnswer } from "./describeAnswer.js";
+import { describeError } from "./describeError.js";
+import { describeStory } from "./describeStory.js";
+import { EntryClient } from "./EntryClient.js";
+import type { EntryError } from "./EntryError.js";
+import { ExitCode } from "./ExitCode.js";
+import { Submission } from "./Submission.js";
+import type { Terminal } from "./Terminal.js";
+
+const TASK_COUNT = 40;
+const SHORTEST_TASK_MS = 50;
+const TASK_STEP_MS = 10;
+const DEADLINE_MS = 30_000;
+/** Longest wait for configuration and agents to be in place, in milliseconds. */
+const READY_LIMIT_MS = 15_000;
+const READY_POLL_MS = 100;
+
+/** Configures the deployment, submits one job, prints the answer and the story, and drains everything. */
+export async function runDemo(terminal: Terminal, deployment: DemoDeployment, clock: Clock): Promise<ExitCode> {
+    let code: ExitCode = ExitCode.Failure;
+    try {
+        await deployment.start();
+        terminal.print(`started; entries at ${deployment.entryUrls.join(" and ")}`);
+        code = await submitJob(terminal, deployment, clock);
+    }
+    catch (error) {
+        terminal.printError(`demo failed: ${(error as Error).message}`);
+    }
+    const left = await deployment.stop();
+    left.forEach(line => terminal.printError(`left: ${line}`));
+    terminal.print(left.length === 0 ? "everything is drained" : `${left.length} pieces of work were left`);
+    return left.length === 0 ? code : ExitCode.Failure;
+}
+
+async function submitJob(terminal: Terminal, deployment: DemoDeployment, clock: Clock): Promise<ExitCode> {
+    const clients = deployment.entryUrls.map(url => new EntryClient(url, deployment.token));
+    const [client] = clients;
+    if (client === undefined) {
+        throw new RangeError("the demo needs an entry");
+    }
+    const section = { team: deployment.team, services: { [deployment.service]: {} } };
+    orThrow((await client.putSection(deployment.team, section, 0)).extract());
+    const ticket = await firstTicket(client, deployment.service, clock);
+    const submission = new Submission(clients, clock, line => terminal.print(line));
+    const job = { service: deployment.service, deadlineMs: DEADLINE_MS, tasks: demoTasks() };
+    const result = await submission.run(job, ticket);
+    return result.caseOf({
+        Left: error => {
+            terminal.printError(describeError(error));
+            return Promise.resolve<ExitCode>(ExitCode.Failure);
+        },
+        Right: async ({ answer }) => {
+            describeAnswer(answer).forEach(line => terminal.print(line));
+            const story = await client.story(ticket);
+            terminal.print("story:");
+            story.ifRight(steps => describeStory(steps).forEach(line => terminal.print(line)))
+                .ifLeft(error => terminal.printError(describeError(error)));
+            return answer.state === "complete" && story.isRight() ? ExitCode.Success : ExitCode.Failure;
+        },
+    });
+}
+
+/** Fetches a ticket as soon as the configuration is in force and agents are attached. */
+async function firstTicket(client: EntryClient, service: string, clock: Clock): Promise<string> {
+    const limitAt = clock.now() + READY_LIMIT_MS;
+    for (;;) {
+        const result = await client.tickets(service, 1);
+        const [ticket] = result.orDefault([]);
+        if (ticket !== undefined) {
+            return ticket;
+        }
+        if (clock.now() >= limitAt) {
+            throw new Error(`no ticket in ${READY_LIMIT_MS} ms: ${result.swap().map(describeError).orDefault("")}`);
+        }
+        await new Promise<void>(resolve => clock.schedule(READY_POLL_MS, resolve));
+    }
+}
+
+function demoTasks(): readonly unknown[] {
+    return Array.from({ length: TASK_COUNT }, (_, index) => {
+        const sizeMs = SHORTEST_TASK_MS + index * TASK_STEP_MS;
+        return { payload: { runMs: sizeMs, value: index }, sizeMs };
+    });
+}
+
+function orThrow(result: unknown): void {
+    const error = result as Partial<EntryError> | undefined;
+    if (error?.code !== undefined && error.verdict !== undefined) {
+        throw new Error(`configuration was refused: ${describeError(error as EntryError)}`);
+    }
+}
--- /dev/null
+++ b/src/cli/taskList.ts
@@ -0,0 +1,8 @@
+import * as z from "zod/mini";
+
+/** Tasks as a caller writes them in a file. */
+export const taskList = z.array(z.strictObject({
+    payload: z.unknown(),
+    sizeMs: z.optional(z.number().check(z.minimum(0))),
+    repeatable: z.optional(z.boolean()),
+})).check(z.minLength(1));
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,7 +1,11 @@
-import { Command } from "commander";
+import { registerClients } from "./cli/registerClients.js";
+import { registerRoles } from "./cli/registerRoles.js";
+import { runCommandLine } from "./cli/runCommandLine.js";
+import { SystemTerminal } from "./cli/SystemTerminal.js";
 
-const program = new Command("waxwingshunt")
-    .description("Dispatcher for jobs of many sub-second tasks")
-    .version(process.env["WAXWINGSHUNT_VERSION"] ?? "development");
+const version = process.env["WAXWINGSHUNT_VERSION"] ?? "development";
+const registers = [registerRoles, registerClients];
 
-void program.parseAsync();
+void runCommandLine(process.argv.slice(2), new SystemTerminal(), version, registers).then(code => {
+    process.exitCode = code;
+});
