--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -4,7 +4,7 @@
 import type { Order } from "./Order.js";
 import type { QueuedTask } from "./QueuedTask.js";
 import type { ScheduledJob } from "./ScheduledJob.js";
-import type { SizeClass } from "./SizeClass.js";
+import { SizeClass } from "./SizeClass.js";
 import { sizeClassOf } from "./sizeClassOf.js";
 import type { Sizes } from "./Sizes.js";
 import type { TaskEntry } from "./TaskEntry.js";
@@ -15,6 +15,14 @@
 
 const SIZE_CLASSES: readonly SizeClass[] = [2, 1, 0];
 
+/** Teams whose service differs by less than their share of this time count as equally served. */
+const FAIR_SLACK_MS = 1500;
+/** Short tasks cost little service, so that a larger difference is made up for soon. */
+const SHORT_SLACK_FACTOR = 4;
+/** A team that was idle may claim its share of this time. */
+const FAIR_CLAIM_MS = 1500;
+const MIN_WEIGHT = 0.01;
+
 /** Open jobs, and their queued tasks in the order in which they are to start. */
 export class Backlog {
     public readonly teams = new Teams();
@@ -102,13 +110,13 @@
     }
 
     /**
-     * Returns the next task among groups and classes that may start. Of the teams within `slackMs` of the team that is
-     * furthest behind, the one with the best job is served.
+     * Returns the next task among groups and classes that may start. Of the teams whose service is nearly as far behind
+     * as that of the team furthest behind, the one with the best job is served.
      */
     public next(
         usable: (group: TaskGroup) => boolean,
         allowed: (sizeClass: SizeClass) => boolean,
-        slackMs: number,
+        slots: number,
     ): TaskEntry | undefined {
         const classes = SIZE_CLASSES.filter(allowed);
         const groups = [...this.groups.all()].filter(group => hasWork(group, classes) && usable(group));
@@ -116,11 +124,13 @@
         if (smallest === Infinity) {
             return undefined;
         }
-        this.fairShare.advance(smallest);
+        const tagPerMs = slots / Math.max(MIN_WEIGHT, this.teams.backloggedWeight);
+        const slack = FAIR_SLACK_MS * tagPerMs;
+        this.fairShare.advance(smallest, FAIR_CLAIM_MS * tagPerMs);
         let best: TaskEntry | undefined;
         for (const group of groups) {
             for (const sizeClass of classes) {
-                const job = group.lanes[sizeClass]?.best(smallest + slackMs);
+                const job = group.lanes[sizeClass]?.best(smallest + slackOf(sizeClass, slack));
                 if (job !== undefined && (best === undefined || job.key < best.job.key)) {
                     best = job.lanes[sizeClass]?.at(-1);
                 }
@@ -265,6 +275,10 @@
     return entry.phase === TaskPhase.Queued || entry.phase === TaskPhase.Waiting;
 }
 
+function slackOf(sizeClass: SizeClass, slack: number): number {
+    return sizeClass === SizeClass.Short ? slack * SHORT_SLACK_FACTOR : slack;
+}
+
 function hasWork(group: TaskGroup, classes: readonly SizeClass[]): boolean {
     return smallestTag(group, classes) < Infinity;
 }
--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -84,7 +84,8 @@
         if (total < MAX_STANDING_WAIT_MS / 2) {
             this.lastCalmAt = now;
         }
-        return Math.min(total, this.waitMs(demand.teamBeforeMs, demand, demand.teamShare));
+        const before = Math.max(0, demand.teamBeforeMs - demand.teamClaimMs);
+        return Math.min(total, this.waitMs(before, demand, demand.teamShare));
     }
 
     private waitMs(workMs: number, demand: Demand, share: number): number {
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -24,8 +24,6 @@
 
 /** A task is overdue after this multiple of its class's p99. */
 const OVERDUE_FACTOR = 4;
-/** Teams whose service differs by less than this time of all slots count as equally served. */
-const FAIR_SLACK_MS_PER_SLOT = 250;
 
 /** Late binding with fair shares between teams, least remaining work within them, and the fastest free agent. */
 export class FairScheduler implements Scheduler {
@@ -113,7 +111,7 @@
         const entry = this.backlog.next(
             group => this.agents.hasCandidate(group, now),
             sizeClass => placement.allows(sizeClass, this.runningTasks.byClass, slots, reserved),
-            slots * FAIR_SLACK_MS_PER_SLOT,
+            slots,
         );
         return entry === undefined ? undefined : this.start(entry, now);
     }
@@ -271,6 +269,7 @@
             teamTasks: team.queued + team.running,
             teamQueuedMs: team.queuedMs,
             teamBeforeMs: this.backlog.teams.workBefore(team, this.policies.order.key(jobMs, now)),
+            teamClaimMs: this.policies.fairShare.claim(team.name) * team.weight,
             teamShare: this.backlog.teams.share(team),
             ...this.agents.capacity(job.agents),
             jobMs,
--- a/src/entry/policy/Teams.ts
+++ b/src/entry/policy/Teams.ts
@@ -7,7 +7,12 @@
 /** Teams with their queued and running tasks, and the weight of those that have queued tasks. */
 export class Teams {
     private readonly teams = new Map<string, TeamEntry>();
-    private backlogWeight = 0;
+    private backlogged = 0;
+
+    /** Sum of the weights of the teams with queued tasks. */
+    public get backloggedWeight(): number {
+        return this.backlogged;
+    }
 
     public get(name: string): TeamEntry {
         let team = this.teams.get(name);
@@ -29,7 +34,7 @@
 
     public setWeight(team: TeamEntry, weight: number): void {
         if (team.queued > 0) {
-            this.backlogWeight += weight - team.weight;
+            this.backlogged += weight - team.weight;
         }
         team.weight = weight;
     }
@@ -40,7 +45,7 @@
         team.queuedMs = team.queued === 0 ? 0 : Math.max(0, team.queuedMs + workMs);
         const after = team.queued > 0;
         if (before !== after) {
-            this.backlogWeight += after ? team.weight : -team.weight;
+            this.backlogged += after ? team.weight : -team.weight;
         }
     }
 
@@ -63,7 +68,7 @@
 
     /** Share of service due to the team once it has queued tasks, 0 to 1. */
     public share(team: TeamEntry): number {
-        const others = team.queued > 0 ? this.backlogWeight - team.weight : this.backlogWeight;
+        const others = team.queued > 0 ? this.backlogged - team.weight : this.backlogged;
         return team.weight / (team.weight + Math.max(0, others));
     }
 }
--- a/src/entry/policy/trial/idealPolicies.ts
+++ b/src/entry/policy/trial/idealPolicies.ts
@@ -14,7 +14,7 @@
     return {
         ...policies,
         admission: { refuse: () => undefined, finished: ignore },
-        fairShare: { tag: () => 0, advance: ignore, charge: ignore },
+        fairShare: { tag: () => 0, claim: () => 0, advance: ignore, charge: ignore },
         order: { key: queuedMs => queuedMs },
         placement: new Fastest(speed, policies.health),
         sizes: {
--- a/src/entry/policy/trial/simulate.ts
+++ b/src/entry/policy/trial/simulate.ts
@@ -89,13 +89,6 @@
         const scheduled = { job: job.id, team: job.team, deadlineAt, agents: this.agents, tasks };
         const refusal = this.timed(() => this.scheduler.admit(scheduled, this.now));
         const refused = refusal !== undefined;
-        if (refused && process.env["DBG"]) {
-            process.stderr.write(
-                `${
-                    Math.round(this.now)
-                } ${job.team} n=${job.tasks.length} q=${this.scheduler.queued} run=${this.scheduler.running} ${refusal.message}\n`,
-            );
-        }
         this.progress.set(job.id, { job, left: tasks.length, failed: refused, refused, endedAt: undefined });
         this.maxQueued = Math.max(this.maxQueued, this.scheduler.queued);
         if (!refused) {
