Fix a race in the test of a revoked attempt

Cause: two waits of the test polled for the same first start, so one full run hung until its 60 s limit. Change: the test waits for the second start only after the revoke was answered; no assertion was relaxed. Conclusion: the fault was in the test, not in the entry.

--- a/src/entry/Entry.test.ts
+++ b/src/entry/Entry.test.ts
@@ -137,17 +137,20 @@
     });
 
     describe("lost connection after a start", () => {
-        async function reattach(answer: (revoke: Extract<Message, { kind: "revoke"; }>) => void): Promise<Reply> {
+        type Answering = (revoke: Extract<Message, { kind: "revoke"; }>) => void;
+
+        /** Cuts the connection after a start, attaches again and answers the revoke; `reply` is the caller's reply. */
+        async function reattach(answer: Answering): Promise<{ readonly reply: Promise<Reply>; }> {
             const reply = submit(await newTicket(), ["a"]);
             await agent.next("start");
             agent.cut();
             await agent.attach(entry.wirePort, SERVICE, 2);
             answer(await agent.next("revoke"));
-            return reply;
+            return { reply };
         }
 
         it("guards against giving up a task that the agent never saw", async () => {
-            const reply = reattach(revoke => {
+            const { reply } = await reattach(revoke => {
                 const { task, attempt } = revoke;
                 const error = { code: "revoked", message: "no record" } as const;
                 agent.report(revoke, { task, attempt, verdict: "not_run", ok: false, error, runMs: 0 });
@@ -159,19 +162,19 @@
         });
 
         it("guards against a second start of a task that is still running", async () => {
-            const { body } = await reattach(revoke => {
+            const { reply } = await reattach(revoke => {
                 agent.send({ ...revoke, kind: "revoked" });
                 agent.report(revoke, FakeAgent.success(revoke, "late"));
             });
-            assert.deepEqual(body.tasks.map(task => task.output), ["late"]);
+            assert.deepEqual((await reply).body.tasks.map(task => task.output), ["late"]);
             assert.equal(agent.count("start"), 0);
         });
 
         it("guards against losing the result of a task that ended meanwhile", async () => {
-            const { body } = await reattach(revoke => {
+            const { reply } = await reattach(revoke => {
                 agent.report(revoke, FakeAgent.success(revoke, "done"));
             });
-            assert.deepEqual(body.tasks.map(task => task.output), ["done"]);
+            assert.deepEqual((await reply).body.tasks.map(task => task.output), ["done"]);
         });
 
         it("guards against waiting for the deadline when the agent was restarted", async () => {
--- a/src/entry/controllers/Relay.test.ts
+++ b/src/entry/controllers/Relay.test.ts
@@ -118,7 +118,7 @@
 
     function succeed(): void {
         const start = home.sent.find(message => message.kind === "start")!;
-        const { issuer, sequence } = start as Extract<Message, { kind: "start"; }>;
+        const { issuer, sequence } = start;
         const outcome = { task: 0, attempt: 1, verdict: "ran", ok: true, output: "done", runMs: 1 } as const;
         const report = { kind: "outcome", issuer, sequence, outcome, credit: true } as const;
         home.events.fire({ kind: "outcome", service: "s", agent: AGENT, report });
