Merge the roles and run the whole path

Cause: the roles were built apart. Change: role modules load by literal imports, the event catalogue covers all roles, the agents' notices are renamed so that they do not share a name with log events.

--- a/src/common/log/eventCatalogue.ts
+++ b/src/common/log/eventCatalogue.ts
@@ -1,4 +1,9 @@
+import { AgentEvent } from "../../agent/AgentEvent.js";
 import { CliEvent } from "../../cli/CliEvent.js";
+import { EndpointEvent } from "../../endpoint/EndpointEvent.js";
+import { EntryEvent } from "../../entry/EntryEvent.js";
+import { StateEvent } from "../../entry/StateEvent.js";
+import { PlatformEvent } from "../../platform/PlatformEvent.js";
 import type { LogEvent } from "./LogEvent.js";
 import { WireEvent } from "./WireEvent.js";
 
@@ -14,6 +19,11 @@
 
 /** Every kind of log line. docs/events.md is generated from it; for documentation and tests only. */
 export const eventCatalogue: readonly EventGroup[] = [
+    { role: "entry", first: 1000, last: 1999, source: "EntryEvent", events: EntryEvent },
+    { role: "agent", first: 2000, last: 2999, source: "AgentEvent", events: AgentEvent },
+    { role: "platform stand-in", first: 3000, last: 3999, source: "PlatformEvent", events: PlatformEvent },
+    { role: "endpoint stand-in", first: 4000, last: 4999, source: "EndpointEvent", events: EndpointEvent },
     { role: "connections", first: 5000, last: 5999, source: "WireEvent", events: WireEvent },
+    { role: "entry: members and configuration", first: 6000, last: 6999, source: "StateEvent", events: StateEvent },
     { role: "command line", first: 7000, last: 7999, source: "CliEvent", events: CliEvent },
 ];
--- a/src/entry/controllers/AgentEvent.ts
+++ b/src/entry/controllers/AgentNotice.ts
@@ -3,7 +3,7 @@
 import type { AgentProfile } from "../policy/AgentProfile.js";
 
 /** What happens on the channels of attached agents. `agent` is the agent's incarnation. */
-export type AgentEvent =
+export type AgentNotice =
     | { readonly kind: "attached"; readonly service: string; readonly agent: string; readonly profile: AgentProfile; }
     | { readonly kind: "detached"; readonly service: string; readonly agent: string; }
     /** The agent's process is certainly gone: its address refuses connections or has another incarnation. */
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -12,8 +12,8 @@
 import type { AttachedAgent } from "../AttachedAgent.js";
 import { EntryEvent } from "../EntryEvent.js";
 import type { MemberView } from "../MemberView.js";
-import type { AgentEvent } from "./AgentEvent.js";
 import type { AgentLink } from "./AgentLink.js";
+import type { AgentNotice } from "./AgentNotice.js";
 import { AgentSession } from "./AgentSession.js";
 import type { Dialer } from "./Dialer.js";
 import { isRefused } from "./isRefused.js";
@@ -37,7 +37,7 @@
 
 /** Channels of the attached agents: attach, heartbeats, and detection of lost and restarted agents. */
 export class Agents implements AgentLink, Disposable {
-    private readonly events = new Emitter<AgentEvent>();
+    private readonly events = new Emitter<AgentNotice>();
     private readonly sessions = new Map<string, AgentSession>();
     private readonly channels = new Set<Channel>();
     private readonly probes = new Map<string, () => void>();
--- a/src/entry/controllers/Dispatch.ts
+++ b/src/entry/controllers/Dispatch.ts
@@ -14,8 +14,8 @@
 import { Disposition } from "../policy/Disposition.js";
 import type { QueuedTask } from "../policy/QueuedTask.js";
 import type { Scheduler } from "../policy/Scheduler.js";
-import type { AgentEvent } from "./AgentEvent.js";
 import type { AgentLink } from "./AgentLink.js";
+import type { AgentNotice } from "./AgentNotice.js";
 import { Fates } from "./Fates.js";
 import type { Job } from "./Job.js";
 import { resultOf } from "./resultOf.js";
@@ -127,7 +127,7 @@
         }
     }
 
-    private handle(event: AgentEvent): void {
+    private handle(event: AgentNotice): void {
         const { agent } = event;
         const queue = this.queueOf(event.service);
         const now = this.parts.clock.now();
@@ -163,7 +163,7 @@
             .with({ kind: "revoked" }, ({ report }) => {
                 this.fates.confirmRunning(agent, report);
             })
-            .with({ kind: "fenced" }, () => undefined)
+            .with({ kind: "fenced" }, { kind: "state" }, () => undefined)
             .exhaustive();
         queue.pump();
     }
--- a/src/entry/controllers/Jobs.test.ts
+++ b/src/entry/controllers/Jobs.test.ts
@@ -11,7 +11,7 @@
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import { EntryIdentity } from "../EntryIdentity.js";
 import { FifoScheduler } from "../policy/FifoScheduler.js";
-import type { AgentEvent } from "./AgentEvent.js";
+import type { AgentNotice } from "./AgentNotice.js";
 import type { Job } from "./Job.js";
 import { Jobs } from "./Jobs.js";
 import { Stories } from "./Stories.js";
@@ -37,7 +37,7 @@
     public readonly jobs: Jobs;
     public readonly sent: { readonly agent: string; readonly message: Message; }[] = [];
     public readonly attached = new Set<string>();
-    private readonly events = new Emitter<AgentEvent>();
+    private readonly events = new Emitter<AgentNotice>();
     private readonly lost = new Set<string>();
     private readonly identity = new EntryIdentity({ id: "e", region: "r", failureDomain: "f", address: "127.0.0.1:1" });
     private readonly ledger = new TicketLedger(this.clock);
--- a/src/entry/controllers/Relay.test.ts
+++ b/src/entry/controllers/Relay.test.ts
@@ -11,7 +11,7 @@
 import { EntryIdentity } from "../EntryIdentity.js";
 import type { PeerCalls } from "../PeerCalls.js";
 import { FifoScheduler } from "../policy/FifoScheduler.js";
-import type { AgentEvent } from "./AgentEvent.js";
+import type { AgentNotice } from "./AgentNotice.js";
 import { Jobs } from "./Jobs.js";
 import { Relay } from "./Relay.js";
 import { Settlement } from "./Settlement.js";
@@ -61,7 +61,7 @@
     const peers = network.peersOf(identity);
     const codec = new TicketCodec("a secret of the deployment");
     const stories = new Stories(identity.current.id, log);
-    const events = new Emitter<AgentEvent>();
+    const events = new Emitter<AgentNotice>();
     const sent: Message[] = [];
     const configuration = {
         revision: 1,
--- a/src/entry/routes/jobRoutes.ts
+++ b/src/entry/routes/jobRoutes.ts
@@ -7,9 +7,9 @@
 import { JobState } from "../../common/job/JobState.js";
 import { CallerRole } from "../../common/settings/CallerRole.js";
 import type { Relay } from "../controllers/Relay.js";
-import type { Caller } from "../filters/Caller.js";
 import { checkInput } from "../filters/checkInput.js";
 import type { HttpEnvironment } from "../filters/HttpEnvironment.js";
+import type { Principal } from "../Principal.js";
 
 const MAX_TASKS = 400;
 const MAX_DEADLINE_MS = 86_400_000;
@@ -86,7 +86,7 @@
 }
 
 /** An admin sees the jobs of every team. */
-function scopeOf(caller: Caller): string | undefined {
+function scopeOf(caller: Principal): string | undefined {
     return caller.role === CallerRole.Admin ? undefined : caller.team;
 }
 
