Put an accepted section in force before answering, and test entries with the real state

Cause: Entry.test used a placeholder configuration; with the real one, a ticket asked for right after an accepted change was refused with no_configuration until the next poll. Change: the accepting entry reads the head before it answers; the test registers its services over HTTP. Conclusion: a change is in force at the accepting entry when the operator hears of it.

--- a/src/entry/Entry.test.ts
+++ b/src/entry/Entry.test.ts
@@ -8,11 +8,13 @@
 import { SystemClock } from "../common/SystemClock.js";
 import { TicketCodec } from "../common/ticket/TicketCodec.js";
 import type { Message } from "../common/wire/Message.js";
+import { Platform } from "../platform/Platform.js";
 import { FakeAgent } from "../test/FakeAgent.js";
 import { Entry } from "./Entry.js";
 
 const SECRET = "a secret of the deployment";
 const TOKEN = "token of the tour team";
+const ADMIN_TOKEN = "token of the operator";
 const SERVICE = "tour";
 const LOST_ISSUER = "0123456789abcdef";
 
@@ -28,6 +30,7 @@
 }
 
 describe("Entry", { timeout: 60_000 }, () => {
+    let platform: Platform;
     let entry: Entry;
     let agent: FakeAgent;
 
@@ -50,7 +53,19 @@
         return call("POST", "/v1/jobs", { ticket, service: SERVICE, deadlineMs: 20_000, tasks, wait: true, ...more });
     }
 
+    async function registerService(): Promise<void> {
+        const reply = await fetch(`http://127.0.0.1:${entry.httpPort}/v1/config/sections/${SERVICE}`, {
+            method: "PUT",
+            headers: { "authorization": `Bearer ${ADMIN_TOKEN}`, "if-none-match": "*", "connection": "close" },
+            body: JSON.stringify({ team: SERVICE, services: { [SERVICE]: {}, meals: {} } }),
+        });
+        assert.equal(reply.status, 200, await reply.text());
+    }
+
     beforeEach(async () => {
+        const log = new SilentLog();
+        const runtime = { clock: new SystemClock(), log, metrics: new NoMetrics(), random: new SeededRandom(1) };
+        platform = await Platform.start({ http: { host: "127.0.0.1", port: 0 }, writeDelayMs: 0 }, runtime);
         const settings = EntrySettings.parse({
             id: "entry-1",
             region: "r",
@@ -61,14 +76,14 @@
             tokens: [
                 { token: TOKEN, role: "caller", team: SERVICE },
                 { token: "token of another team", role: "caller", team: "meals" },
-                { token: "token of the operator", role: "admin", team: "admins" },
+                { token: ADMIN_TOKEN, role: "admin", team: "admins" },
             ],
             scheduler: "fifo",
             maxBodyBytes: 4096,
+            platform: { url: `http://127.0.0.1:${platform.port}` },
         });
-        const log = new SilentLog();
-        const runtime = { clock: new SystemClock(), log, metrics: new NoMetrics(), random: new SeededRandom(1) };
         entry = await Entry.start(settings, runtime);
+        await registerService();
         agent = await FakeAgent.start(SECRET);
         await agent.attach(entry.wirePort, SERVICE, 2);
     });
@@ -76,6 +91,7 @@
     afterEach(async () => {
         agent.dispose();
         await entry.dispose();
+        await platform.dispose();
     });
 
     describe("one job", () => {
--- a/src/entry/controllers/Configuration.ts
+++ b/src/entry/controllers/Configuration.ts
@@ -124,12 +124,12 @@
 
     /** Writes a section if it still has revision `base`; 0 for a section that does not exist yet. */
     public put(team: string, base: number, body: unknown): Promise<ChangeResult> {
-        return this.writer?.put(team, base, body) ?? noStore();
+        return this.adoptAfter(this.writer?.put(team, base, body) ?? noStore());
     }
 
     /** Deletes a section if it still has revision `base`. */
     public delete(team: string, base: number): Promise<ChangeResult> {
-        return this.writer?.delete(team, base) ?? noStore();
+        return this.adoptAfter(this.writer?.delete(team, base) ?? noStore());
     }
 
     /** Finds out whether the change with this token was applied; rejects while the store cannot be used. */
@@ -215,6 +215,16 @@
             || now - (this.head?.polledAt ?? 0) > VERIFY_MS;
     }
 
+    /** An accepted change is in force at this entry before the operator is told, as far as the store answers. */
+    private async adoptAfter(change: Promise<ChangeResult>): Promise<ChangeResult> {
+        const result = await change;
+        if (result.kind === "applied") {
+            await this.head?.poll();
+            this.push();
+        }
+        return result;
+    }
+
     /** Asks a peer that reports a newer revision, or else an agent, for what is missing here. */
     private pull(): void {
         const { store, members, peers, agents, id, log } = this.options;
