Add the bench command with an embedded deployment

Change: waxwingshunt bench starts a profile's deployment in one process or loads entries that run already, sends open-loop load, injects faults and reports; agents count their messages too.

--- a/src/agent/Agent.ts
+++ b/src/agent/Agent.ts
@@ -51,7 +51,7 @@
         this.endpoint = new ServedEndpoint(runtime);
         this.tasks = new Tasks(this.incarnation, this.records, this.slots, () => this.endpoint.caller, log);
         const { id: agentId, region, rack, entries: seeds, secret } = settings;
-        const connect = (address: string) => dial(address, this.identity, secret, log);
+        const connect = (address: string) => dial(address, this.identity, secret, log, this.runtime.metrics);
         const setting = { agentId, region, rack, seeds };
         this.attachments = new Attachments(setting, connect, this.slots, this.tasks, this.configuration, runtime);
     }
@@ -109,7 +109,7 @@
     }
 
     private async listen(): Promise<void> {
-        const { settings, runtime: { log } } = this;
+        const { settings, runtime: { log, metrics } } = this;
         const { listen, announce, secret } = settings;
         const maxConnections = MAX_INBOUND_CONNECTIONS;
         this.listener = await Listener.listen({
@@ -118,6 +118,7 @@
             identity: () => this.identity,
             secret,
             log,
+            metrics,
         });
         this.listener.onChannel(channel => {
             this.inbound.add(channel);
--- /dev/null
+++ b/src/bench/EmbeddedDeployment.ts
@@ -0,0 +1,236 @@
+import { randomBytes } from "node:crypto";
+import { request } from "undici";
+import { Agent } from "../agent/Agent.js";
+import { SilentLog } from "../common/log/SilentLog.js";
+import { rendezvousRank } from "../common/rendezvousRank.js";
+import type { RunningRole } from "../common/RunningRole.js";
+import type { Runtime } from "../common/Runtime.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import { AgentSettings } from "../common/settings/AgentSettings.js";
+import { EndpointSettings } from "../common/settings/EndpointSettings.js";
+import { EntrySettings } from "../common/settings/EntrySettings.js";
+import { PlatformSettings } from "../common/settings/PlatformSettings.js";
+import { SystemClock } from "../common/SystemClock.js";
+import { Endpoint } from "../endpoint/Endpoint.js";
+import { Entry } from "../entry/Entry.js";
+import { Platform } from "../platform/Platform.js";
+import { CountingMetrics } from "./CountingMetrics.js";
+import { Injection } from "./Injection.js";
+import type { LoadTarget } from "./LoadTarget.js";
+import type { Profile } from "./Profile.js";
+import type { WorkerProfile } from "./WorkerProfile.js";
+
+const HOST = "127.0.0.1";
+const FREE = { host: HOST, port: 0 };
+const SECRET_BYTES = 24;
+const ATTACH_LIMIT_MS = 20_000;
+const ATTACH_POLL_MS = 100;
+
+interface Worker {
+    readonly agent: Agent;
+    readonly endpoint: Endpoint;
+}
+
+/** Whole deployment of a profile in this process, on loopback with free ports. */
+export class EmbeddedDeployment {
+    public readonly metrics = new CountingMetrics();
+    private readonly runtime: Runtime;
+    private readonly secret = randomBytes(SECRET_BYTES).toString("base64url");
+    private readonly tokens: ReadonlyMap<string, string>;
+    private readonly operatorToken = randomBytes(SECRET_BYTES).toString("base64url");
+    private readonly entries: Entry[] = [];
+    private readonly workers: Worker[] = [];
+    private readonly roles: RunningRole[] = [];
+    private failuresBefore = 0;
+
+    constructor(
+        private readonly profile: Profile,
+        private readonly scheduler: string,
+        seed: number,
+    ) {
+        this.runtime = {
+            clock: new SystemClock(),
+            log: new SilentLog(),
+            metrics: this.metrics,
+            random: new SeededRandom(seed),
+        };
+        this.tokens = new Map(profile.teams.map(({ name }) => {
+            return [name, randomBytes(SECRET_BYTES).toString("base64url")];
+        }));
+    }
+
+    public get target(): LoadTarget {
+        const entries = this.entries.map(entry => `http://${HOST}:${entry.httpPort}`);
+        return { service: this.profile.service, entries, tokens: this.tokens };
+    }
+
+    /** Starts every role, registers the service and waits until all agents are attached. */
+    public async start(): Promise<void> {
+        const platform = this.keep(await Platform.start(PlatformSettings.parse({ http: FREE }), this.runtime));
+        for (const entry of this.profile.entries) {
+            await this.startEntry(entry, platform.port);
+        }
+        await this.register();
+        for (const worker of this.profile.workers) {
+            await this.startWorker(worker);
+        }
+        await this.waitForAgents();
+    }
+
+    /** Brings about a fault now; tasks that the faulty worker has started so far do not count as lost to it. */
+    public async inject(injection: Injection): Promise<void> {
+        const worker = this.workers[0];
+        if (worker === undefined) {
+            return;
+        }
+        switch (injection) {
+            case Injection.SickWorker:
+                worker.endpoint.failureShare = 1;
+                this.failuresBefore = worker.endpoint.starts.size + worker.endpoint.running;
+                break;
+            case Injection.SilentWorker:
+                worker.endpoint.silentShare = 1;
+                this.failuresBefore = worker.endpoint.starts.size;
+                break;
+            case Injection.KilledWorker:
+                await worker.agent.dispose();
+                await worker.endpoint.dispose();
+                break;
+            case Injection.KilledEntry:
+                await this.home().dispose();
+                break;
+            case Injection.None:
+                break;
+        }
+    }
+
+    /** Tasks that the faulty worker has started since the fault. */
+    public get startsSinceFault(): number {
+        return (this.workers[0]?.endpoint.starts.size ?? 0) - this.failuresBefore;
+    }
+
+    /** Tasks that the endpoints have started more than once. */
+    public get duplicates(): number {
+        const totals = new Map<string, number>();
+        for (const { endpoint } of this.workers) {
+            for (const [task, count] of endpoint.starts) {
+                totals.set(task, (totals.get(task) ?? 0) + count);
+            }
+        }
+        return [...totals.values()].filter(count => count > 1).length;
+    }
+
+    public async stop(): Promise<void> {
+        for (const role of this.roles.reverse()) {
+            await role.dispose();
+        }
+    }
+
+    private async startEntry(entry: Profile["entries"][number], platformPort: number): Promise<void> {
+        const settings = EntrySettings.parse({
+            ...entry,
+            region: this.profile.region,
+            listen: FREE,
+            http: FREE,
+            secret: this.secret,
+            tokens: [
+                { token: this.operatorToken, role: "admin", team: "operators" },
+                ...[...this.tokens].map(([team, token]) => ({ token, role: "caller", team })),
+            ],
+            entries: this.seeds(),
+            platform: { url: `http://${HOST}:${platformPort}` },
+            scheduler: this.scheduler,
+        });
+        this.entries.push(this.keep(await Entry.start(settings, this.runtime)));
+    }
+
+    private async startWorker(worker: WorkerProfile): Promise<void> {
+        const agent = this.keep(
+            await Agent.start(
+                AgentSettings.parse({
+                    id: worker.id,
+                    region: this.profile.region,
+                    failureDomain: worker.failureDomain,
+                    rack: worker.rack,
+                    listen: FREE,
+                    announce: FREE,
+                    secret: this.secret,
+                    entries: this.seeds(),
+                }),
+                this.runtime,
+            ),
+        );
+        const endpoint = this.keep(
+            await Endpoint.start(
+                EndpointSettings.parse({
+                    service: this.profile.service,
+                    http: FREE,
+                    agent: `http://${HOST}:${agent.announcePort}`,
+                    slots: worker.slots,
+                    connections: worker.connections,
+                    speed: worker.speed,
+                }),
+                this.runtime,
+            ),
+        );
+        this.workers.push({ agent, endpoint });
+    }
+
+    private seeds(): readonly string[] {
+        return this.entries.map(entry => `${HOST}:${entry.wirePort}`);
+    }
+
+    /** Each team gets a section of weight 1; the first team owns the service. */
+    private async register(): Promise<void> {
+        for (const [index, { name }] of this.profile.teams.entries()) {
+            const services = index === 0 ? { [this.profile.service]: {} } : {};
+            const response = await request(`${this.target.entries[0] ?? ""}/v1/config/sections/${name}`, {
+                method: "PUT",
+                headers: { "authorization": `Bearer ${this.operatorToken}`, "if-none-match": "*" },
+                body: JSON.stringify({ team: name, services }),
+            });
+            if (response.statusCode !== 200) {
+                throw new Error(`section of ${name} was refused: ${await response.body.text()}`);
+            }
+            await response.body.dump();
+        }
+    }
+
+    private async waitForAgents(): Promise<void> {
+        const giveUpAt = performance.now() + ATTACH_LIMIT_MS;
+        while (performance.now() < giveUpAt) {
+            if (await this.attachedAgents() === this.profile.workers.length) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, ATTACH_POLL_MS));
+        }
+        throw new Error(`not all agents attached within ${ATTACH_LIMIT_MS} ms`);
+    }
+
+    /** Agents attached to the home entry. */
+    private async attachedAgents(): Promise<number> {
+        const response = await request(`http://${HOST}:${this.home().httpPort}/v1/services`, {
+            headers: { authorization: `Bearer ${this.operatorToken}` },
+        });
+        const { services } = await response.body.json() as {
+            readonly services: readonly { readonly name: string; readonly agents: number; }[];
+        };
+        return services.find(service => service.name === this.profile.service)?.agents ?? 0;
+    }
+
+    /** Entry that is home of the service's only shard. */
+    private home(): Entry {
+        const ids = this.profile.entries.map(entry => entry.id);
+        const best = rendezvousRank(`${this.profile.region}/${this.profile.service}/0`, ids)[0];
+        const entry = this.entries[ids.indexOf(best ?? "")];
+        if (entry === undefined) {
+            throw new Error("the profile has no entries");
+        }
+        return entry;
+    }
+
+    private keep<R extends RunningRole>(role: R): R {
+        this.roles.push(role);
+        return role;
+    }
+}
--- a/src/bench/LoadClient.ts
+++ b/src/bench/LoadClient.ts
@@ -136,7 +136,7 @@
                 "authorization": `Bearer ${this.target.tokens.get(team) ?? ""}`,
             },
             body: JSON.stringify(body),
-            signal: AbortSignal.timeout(Math.max(1, giveUpAt - performance.now())),
+            signal: AbortSignal.timeout(Math.max(1, Math.ceil(giveUpAt - performance.now()))),
         });
         return { status: response.statusCode, body: await response.body.json() };
     }
--- a/src/endpoint/TaskServer.ts
+++ b/src/endpoint/TaskServer.ts
@@ -89,11 +89,13 @@
         this.startCounts.set(task, (this.startCounts.get(task) ?? 0) + 1);
         this.runningTasks.add(name);
         const { clock, log } = this.runtime;
+        const startedAt = Date.now();
         log.write(EndpointEvent.TaskStarted, { name, runMs });
         const cancel = silentDraw < silentShare ? () => undefined : clock.schedule(runMs, () => {
             log.write(EndpointEvent.TaskEnded, { name, runMs, fails });
             this.runningTasks.delete(name);
-            sendJson(response, fails ? 500 : 200, fails ? { error: "task failed" } : { value: payload.value, runMs });
+            const output = { value: payload.value, runMs, startedAt };
+            sendJson(response, fails ? 500 : 200, fails ? { error: "task failed" } : output);
         });
         response.once("close", () => {
             cancel();
