Wait for every entry before a load run starts

Cause: a run over four entries failed when an entry did not know the home yet. Change: the embedded deployment waits until each entry issues tickets.

--- a/src/bench/EmbeddedDeployment.ts
+++ b/src/bench/EmbeddedDeployment.ts
@@ -199,7 +199,8 @@
     private async waitForAgents(): Promise<void> {
         const giveUpAt = performance.now() + ATTACH_LIMIT_MS;
         while (performance.now() < giveUpAt) {
-            if (await this.attachedAgents() === this.profile.workers.length) {
+            const attached = await this.attachedAgents();
+            if (attached === this.profile.workers.length && await this.everyEntryIssues()) {
                 return;
             }
             await new Promise(resolve => setTimeout(resolve, ATTACH_POLL_MS));
@@ -207,6 +208,23 @@
         throw new Error(`not all agents attached within ${ATTACH_LIMIT_MS} ms`);
     }
 
+    /** True when each entry has the configuration and knows the home. */
+    private async everyEntryIssues(): Promise<boolean> {
+        const token = [...this.tokens.values()][0] ?? "";
+        for (const entry of this.target.entries) {
+            const response = await request(`${entry}/v1/tickets`, {
+                method: "POST",
+                headers: { "authorization": `Bearer ${token}`, "content-type": "application/json" },
+                body: JSON.stringify({ service: this.profile.service, count: 1 }),
+            });
+            await response.body.dump();
+            if (response.statusCode !== 200) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Agents attached to the home entry. */
     private async attachedAgents(): Promise<number> {
         const response = await request(`http://${HOST}:${this.home().httpPort}/v1/services`, {
