Never call a task not run after one of its attempts ran

Cause: a repeatable task that had failed once and waited for its retry was answered not_run when the deadline or a stop withdrew the retry, although its first attempt had run. Ruled out: the scheduler, which reports attempts correctly. Change: the job remembers which tasks have run, and later results keep the verdict ran. Before and after: the new test gave not_run and now gives ran.

--- a/src/entry/controllers/Dispatch.ts
+++ b/src/entry/controllers/Dispatch.ts
@@ -247,6 +247,9 @@
         if (ENDS_JOB.has(code)) {
             this.parts.stop(job, new Fault(code as FaultCode, "another entry settled the ticket of this job"));
         }
+        if (verdict === Verdict.Ran) {
+            job.noteRan(task);
+        }
         const requeued = disposition === Disposition.Requeued;
         if (requeued && job.stopReason === undefined) {
             this.parts.stories.record(job.key, EntryEvent.TaskRequeued, { task, attempt: attempt + 1 });
--- a/src/entry/controllers/Job.ts
+++ b/src/entry/controllers/Job.ts
@@ -29,6 +29,8 @@
     public stopReason: Answer["reason"];
     private readonly results = new Map<number, TaskResult>();
     private readonly attempts = new Map<number, OpenAttempt>();
+    /** Tasks of which an earlier attempt ran and failed. */
+    private readonly ranBefore = new Set<number>();
     private readonly taskCount: number;
     private tasks: readonly TaskRequest[];
     private resolveDone: (answer: Answer) => void = () => undefined;
@@ -92,13 +94,19 @@
         this.attempts.delete(task);
     }
 
+    /** Remembers that an attempt of the task ran, so that no later result may say that it was not run. */
+    public noteRan(task: number): void {
+        this.ranBefore.add(task);
+    }
+
     /** Records the first result of a task; the last one makes the answer final. Returns true when that happened. */
     public setResult(task: number, result: TaskResult): boolean {
         this.attempts.delete(task);
         if (this.finished || this.results.has(task)) {
             return false;
         }
-        this.results.set(task, result);
+        const hasRun = this.ranBefore.has(task);
+        this.results.set(task, hasRun ? { ...result, verdict: Verdict.Ran } : result);
         if (this.results.size < this.taskCount) {
             return false;
         }
--- a/src/entry/controllers/Jobs.test.ts
+++ b/src/entry/controllers/Jobs.test.ts
@@ -5,12 +5,15 @@
 import type { Answer } from "../../common/job/Answer.js";
 import type { JobRequest } from "../../common/job/JobRequest.js";
 import { SilentLog } from "../../common/log/SilentLog.js";
+import { SeededRandom } from "../../common/SeededRandom.js";
 import type { Ticket } from "../../common/ticket/Ticket.js";
 import { VirtualClock } from "../../common/VirtualClock.js";
 import type { Message } from "../../common/wire/Message.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import { EntryIdentity } from "../EntryIdentity.js";
+import { FairScheduler } from "../policy/FairScheduler.js";
 import { FifoScheduler } from "../policy/FifoScheduler.js";
+import type { Scheduler } from "../policy/Scheduler.js";
 import type { AgentNotice } from "./AgentNotice.js";
 import type { Job } from "./Job.js";
 import { Jobs } from "./Jobs.js";
@@ -42,7 +45,7 @@
     private readonly identity = new EntryIdentity({ id: "e", region: "r", failureDomain: "f", address: "127.0.0.1:1" });
     private readonly ledger = new TicketLedger(this.clock);
 
-    constructor() {
+    constructor(scheduler: () => Scheduler = () => new FifoScheduler()) {
         this.jobs = new Jobs({
             clock: this.clock,
             identity: this.identity,
@@ -68,7 +71,7 @@
             tickets: this.ledger,
             stories: new Stories("e", new SilentLog()),
             gather: () => Promise.resolve({ complete: false, outcomes: new Map() }),
-            createScheduler: () => new FifoScheduler(),
+            createScheduler: scheduler,
         });
         for (const agent of AGENTS) {
             this.attach(agent);
@@ -189,6 +192,18 @@
             assert.equal(job.answer.state, "failed");
         });
 
+        it("guards against calling a task not run whose first attempt ran and whose retry never started", () => {
+            const bench = new Bench(() => new FairScheduler(new SeededRandom(1)));
+            const tasks = [{ payload: 0, repeatable: true }];
+            const job = bench.submit(bench.ticket(), 1, { tasks });
+            bench.end(0, "failed");
+            assert.equal(job.finished, false);
+            AGENTS.forEach(agent => bench.detach(agent));
+            bench.clock.advance(DEADLINE_MS + 1);
+            assert.deepEqual(job.answer.tasks.map(task => task.verdict), ["ran"]);
+            assert.equal(job.answer.verdict, "ran");
+        });
+
         it("guards against waiting for the deadline when no agent of the ticket is left", () => {
             const bench = new Bench();
             const job = bench.submit(bench.ticket(), 6);
