Tell retries of repeatable work from second starts in load runs

Change: a second start counts as a duplicate unless the task was repeatable; retries are reported apart; a start that belongs to no known job counts as a duplicate. Conclusion: the count of duplicates is again strict where the promise is.

--- a/src/bench/EmbeddedDeployment.ts
+++ b/src/bench/EmbeddedDeployment.ts
@@ -11,13 +11,17 @@
 import { EntrySettings } from "../common/settings/EntrySettings.js";
 import { PlatformSettings } from "../common/settings/PlatformSettings.js";
 import { SystemClock } from "../common/SystemClock.js";
+import { TicketCodec } from "../common/ticket/TicketCodec.js";
 import { Endpoint } from "../endpoint/Endpoint.js";
 import { Entry } from "../entry/Entry.js";
 import { Platform } from "../platform/Platform.js";
 import { CountingMetrics } from "./CountingMetrics.js";
+import { countRepeatedStarts } from "./countRepeatedStarts.js";
 import { Injection } from "./Injection.js";
+import type { JobResult } from "./JobResult.js";
 import type { LoadTarget } from "./LoadTarget.js";
 import type { Profile } from "./Profile.js";
+import type { RepeatedStarts } from "./RepeatedStarts.js";
 import type { WorkerProfile } from "./WorkerProfile.js";
 
 const HOST = "127.0.0.1";
@@ -109,15 +113,15 @@
         return (this.workers[0]?.endpoint.starts.size ?? 0) - this.failuresBefore;
     }
 
-    /** Tasks that the endpoints have started more than once. */
-    public get duplicates(): number {
+    /** Counts the tasks that the endpoints have started more than once. */
+    public countRepeatedStarts(results: readonly JobResult[]): RepeatedStarts {
         const totals = new Map<string, number>();
         for (const { endpoint } of this.workers) {
             for (const [task, count] of endpoint.starts) {
                 totals.set(task, (totals.get(task) ?? 0) + count);
             }
         }
-        return [...totals.values()].filter(count => count > 1).length;
+        return countRepeatedStarts(results, totals, new TicketCodec(this.secret));
     }
 
     public async stop(): Promise<void> {
--- a/src/bench/JobResult.ts
+++ b/src/bench/JobResult.ts
@@ -6,6 +6,8 @@
 /** Result of one job of a load run. Times are milliseconds. */
 export interface JobResult {
     readonly job: PlannedJob;
+    /** Ticket of the submission; undefined when none was to be had. */
+    readonly ticket: string | undefined;
     readonly outcome: JobOutcome;
     /** Code of the refusal or failure, such as `overloaded`. */
     readonly code: string | undefined;
--- a/src/bench/LoadClient.ts
+++ b/src/bench/LoadClient.ts
@@ -20,7 +20,7 @@
     readonly body: unknown;
 }
 
-type Ending = Pick<JobResult, "outcome" | "code" | "resubmissions" | "verdicts" | "executions">;
+type Ending = Pick<JobResult, "ticket" | "outcome" | "code" | "resubmissions" | "verdicts" | "executions">;
 
 /** Caller of a load run: fetches tickets ahead, submits jobs through all entries in turn, resubmits when one dies. */
 export class LoadClient {
@@ -62,14 +62,14 @@
             try {
                 ticket ??= await this.takeTicket(job.team);
                 const reply = await this.post(job.team, "/v1/jobs", this.bodyOf(job, ticket, deadlineMs), giveUpAt);
-                return toEnding(reply, resubmissions);
+                return { ticket, resubmissions, ...toEnding(reply) };
             }
             catch {
                 resubmissions += 1;
                 await new Promise(resolve => setTimeout(resolve, RESUBMISSION_PAUSE_MS));
             }
         }
-        return { outcome: JobOutcome.Lost, code: undefined, resubmissions, verdicts: [], executions: [] };
+        return { ticket, outcome: JobOutcome.Lost, code: undefined, resubmissions, verdicts: [], executions: [] };
     }
 
     private bodyOf(job: PlannedJob, ticket: string, deadlineMs: number): unknown {
@@ -142,20 +142,20 @@
     }
 }
 
-function toEnding(reply: HttpReply, resubmissions: number): Ending {
+function toEnding(reply: HttpReply): Omit<Ending, "ticket" | "resubmissions"> {
     const answer = reply.body as Answer & { readonly error?: { readonly code: string; }; };
     if (answer.error !== undefined) {
         const refused = answer.verdict === Verdict.NotRun;
         const outcome = refused ? JobOutcome.Refused : JobOutcome.Failed;
-        return { outcome, code: answer.error.code, resubmissions, verdicts: [], executions: [] };
+        return { outcome, code: answer.error.code, verdicts: [], executions: [] };
     }
     if (answer.state === JobState.Complete) {
         const executions = answer.tasks.map(task => ({
             task: task.index,
             ...(task.output as Omit<Execution, "task">),
         }));
-        return { outcome: JobOutcome.Complete, code: undefined, resubmissions, verdicts: [], executions };
+        return { outcome: JobOutcome.Complete, code: undefined, verdicts: [], executions };
     }
     const verdicts = answer.tasks.map(task => task.verdict);
-    return { outcome: JobOutcome.Failed, code: answer.reason?.code, resubmissions, verdicts, executions: [] };
+    return { outcome: JobOutcome.Failed, code: answer.reason?.code, verdicts, executions: [] };
 }
--- a/src/bench/LoadRun.ts
+++ b/src/bench/LoadRun.ts
@@ -1,5 +1,6 @@
 import type { JobResult } from "./JobResult.js";
 import type { Profile } from "./Profile.js";
+import type { RepeatedStarts } from "./RepeatedStarts.js";
 import type { Scenario } from "./Scenario.js";
 
 /** Everything that one load run has measured. */
@@ -13,6 +14,7 @@
     readonly results: readonly JobResult[];
     /** Messages between processes by kind, while jobs arrived. */
     readonly messages: ReadonlyMap<string, number>;
-    readonly duplicates: number | undefined;
+    /** Undefined against processes that run already. */
+    readonly repeated: RepeatedStarts | undefined;
     readonly lostToFault: number | undefined;
 }
--- a/src/bench/Report.ts
+++ b/src/bench/Report.ts
@@ -22,8 +22,10 @@
         readonly planned: number;
         readonly ran: number;
         readonly mayHaveRun: number;
-        /** Tasks that an endpoint started more than once; undefined against processes of others. */
+        /** Tasks started more than once although not repeatable, or twice as the same attempt; must be 0. */
         readonly duplicates: number | undefined;
+        /** Repeatable tasks that were started again after they had run and failed. */
+        readonly retried: number | undefined;
         /** Tasks that failed at the faulty worker after its first ten. */
         readonly lostToFault: number | undefined;
     };
--- a/src/bench/createReport.ts
+++ b/src/bench/createReport.ts
@@ -67,7 +67,8 @@
         planned: run.results.reduce((sum, result) => sum + result.job.tasks.length, 0),
         ran: executed + verdicts.filter(verdict => verdict === Verdict.Ran).length,
         mayHaveRun: verdicts.filter(verdict => verdict === Verdict.MayHaveRun).length,
-        duplicates: run.duplicates,
+        duplicates: run.repeated?.duplicates,
+        retried: run.repeated?.retried,
         lostToFault: run.lostToFault,
     };
 }
