Check submissions against agents' records, and refuse idle and foreign agents

Cause: agents' records held no trace of the submitted body, so after the loss of the issuer another body under the same ticket got the first body's answer; a cancel of such a job aborted nothing; a repeatable task that ran, failed and was withdrawn before its retry was answered not_run; agent channels that never attached stayed open, and agents of another region were accepted.

Change: start and records carry a 16-byte digest of the submission, and a settlement answers 409 with verdict not_run when it differs; a cancel of a job whose issuer is lost sends cancel with the settlement; a job keeps the failure of an earlier attempt that ran; the entry closes agent channels that did not attach within 10 s and refuses agents of another region.

--- a/src/agent/Records.test.ts
+++ b/src/agent/Records.test.ts
@@ -64,7 +64,7 @@
                 assert.ok(!witness.ran.has(name) || !witness.once.has(name), `task of ${id} was not repeatable`);
                 assert.ok(!witness.succeeded.has(`${ticket}/${task}`), `task of ${id} ran after a success`);
                 assert.ok(![...witness.running.keys()].some(other => other.startsWith(`${ticket}/${task}/`)));
-                records.begin(key, action.repeatable);
+                records.begin(key, action.repeatable, "d");
                 witness.started.add(id);
                 if (!action.repeatable) {
                     witness.once.add(name);
@@ -135,20 +135,20 @@
         it("guards against calling an attempt not run whose record was dropped", () => {
             const clock = new VirtualClock();
             const records = new Records(clock, 1_000_000, RETENTION_MS);
-            records.begin(keyOf(3), false);
+            records.begin(keyOf(3), false, "d");
             records.finish(keyOf(3), ended(keyOf(3), Verdict.Ran, true), 10);
             clock.advance(RETENTION_MS);
             records.sweep();
             assert.equal(records.revoke(keyOf(3))?.verdict, Verdict.MayHaveRun);
-            assert.deepEqual(records.settle(ISSUER, 3), { complete: false, tasks: [] });
+            assert.deepEqual(records.settle(ISSUER, 3), { complete: false, digest: undefined, tasks: [] });
             assert.equal(records.judge(keyOf(2), false).kind, "start", "a ticket that was never here must start");
         });
 
         it("guards against growth beyond the byte bound while tasks run", () => {
             const records = new Records(new VirtualClock(), 4096, RETENTION_MS);
-            records.begin(keyOf(1, 0), false);
+            records.begin(keyOf(1, 0), false, "d");
             for (let task = 1; task < 8; task++) {
-                records.begin(keyOf(1, task), false);
+                records.begin(keyOf(1, task), false, "d");
                 records.finish(keyOf(1, task), ended(keyOf(1, task), Verdict.Ran, true), 100_000);
                 assert.ok(records.size <= 4096, `${records.size} bytes kept`);
             }
--- a/src/agent/Records.ts
+++ b/src/agent/Records.ts
@@ -8,6 +8,13 @@
 import type { StartDecision } from "./StartDecision.js";
 import { TicketRecords } from "./TicketRecords.js";
 
+/** Answer of the records to `settle`. */
+interface Settlement {
+    readonly complete: boolean;
+    readonly digest: string | undefined;
+    readonly tasks: readonly TaskRecord[];
+}
+
 /**
  * What this agent incarnation has started, revoked and fenced. It decides whether an attempt may start and is bounded in
  * bytes and age. Tickets with running tasks are never dropped; dropping a ticket makes later answers about it incomplete,
@@ -58,8 +65,9 @@
     }
 
     /** Records a start; call it only after `judge` has answered `start`, and before the endpoint is called. */
-    public begin(key: AttemptKey, repeatable: boolean): void {
+    public begin(key: AttemptKey, repeatable: boolean, digest: string): void {
         this.change(key.issuer, key.sequence, ticket => {
+            ticket.digest ??= digest;
             ticket.begin(key.task, key.attempt, repeatable);
         });
     }
@@ -88,12 +96,12 @@
     }
 
     /** Fences a ticket, then returns its records. */
-    public settle(issuer: string, sequence: number): { complete: boolean; tasks: TaskRecord[]; } {
-        let answer = { complete: false, tasks: [] as TaskRecord[] };
+    public settle(issuer: string, sequence: number): Settlement {
+        let answer: Settlement = { complete: false, digest: undefined, tasks: [] };
         this.change(issuer, sequence, ticket => {
             ticket.fenced = true;
             const complete = ticket.complete && !this.wasDropped(issuer, sequence);
-            answer = { complete, tasks: ticket.toTaskRecords() };
+            answer = { complete, digest: ticket.digest, tasks: ticket.toTaskRecords() };
         });
         return answer;
     }
--- a/src/agent/Tasks.ts
+++ b/src/agent/Tasks.ts
@@ -116,7 +116,7 @@
             channel.send({ kind: "records", issuer, sequence, complete: false, tasks: [] });
             return;
         }
-        const { complete, tasks } = this.records.settle(issuer, sequence);
+        const { complete, digest, tasks } = this.records.settle(issuer, sequence);
         this.log.write(AgentEvent.TicketSettled, {
             issuer,
             sequence,
@@ -127,7 +127,7 @@
         if (tasks.some(task => (task.outcome ?? undefined) === undefined)) {
             this.follow(idOf({ issuer, sequence }), channel);
         }
-        channel.send({ kind: "records", issuer, sequence, complete, tasks });
+        channel.send({ kind: "records", issuer, sequence, complete, digest, tasks });
     }
 
     /** Sends kept outcomes to the channel of their issuer. */
@@ -145,7 +145,7 @@
     }
 
     private run(channel: Channel, start: Start, key: AttemptKey, caller: Caller): void {
-        this.records.begin(key, start.repeatable);
+        this.records.begin(key, start.repeatable, start.digest);
         const running: RunningTask = { key, channel, abort: new AbortController() };
         this.tasks.add(running);
         this.log.write(AgentEvent.TaskStarted, { ...key, budgetMs: start.budgetMs });
--- a/src/agent/TicketRecords.ts
+++ b/src/agent/TicketRecords.ts
@@ -24,6 +24,8 @@
 export class TicketRecords {
     public fenced = false;
     public running = 0;
+    /** Digest of the submission, from its first start. */
+    public digest: string | undefined;
     public bytes = TICKET_BYTES;
     /** False after an output was dropped to stay within the byte bound. */
     public complete = true;
--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -51,6 +51,8 @@
     readonly task: number;
     readonly attempt: number;
     readonly payload: unknown;
+    /** Short digest of the submission; agents keep it with the records of the ticket. */
+    readonly digest: string;
     /** Time left until the job's deadline, in milliseconds. */
     readonly budgetMs: number;
     readonly repeatable: boolean;
@@ -100,6 +102,8 @@
     readonly kind: "records";
     /** False when records of this ticket may have been dropped. */
     readonly complete: boolean;
+    /** Digest of the submission whose tasks are on record; absent when no task was started here. */
+    readonly digest?: string | undefined;
     readonly tasks: readonly TaskRecord[];
 }
 
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -71,7 +71,14 @@
     credit: { count: isCount },
     reclaim: { count: isCount },
     release: { count: isCount },
-    start: { ...ATTEMPT, payload: isAnything, budgetMs: isNumber, repeatable: isBoolean, queued: isCount },
+    start: {
+        ...ATTEMPT,
+        payload: isAnything,
+        digest: isString,
+        budgetMs: isNumber,
+        repeatable: isBoolean,
+        queued: isCount,
+    },
     outcome: { ...TICKET_KEY, outcome: OUTCOME, credit: isBoolean },
     cancel: { ...TICKET_KEY, task: optional(isCount) },
     revoke: ATTEMPT,
@@ -80,6 +87,7 @@
     records: {
         ...TICKET_KEY,
         complete: isBoolean,
+        digest: optional(isString),
         tasks: listOf(shapeOf({ task: isCount, attempt: isCount, outcome: optional(OUTCOME) })),
     },
     fenced: { issuer: isString },
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -75,6 +75,7 @@
         this.agents = new Agents({
             clock,
             log,
+            region: settings.region,
             members,
             dial: dialer,
             queued: service => this.jobs.queued(service),
--- a/src/entry/EntryEvent.ts
+++ b/src/entry/EntryEvent.ts
@@ -25,6 +25,7 @@
     AgentLost: { number: 1032, level: LogLevel.Warn, text: "agent incarnation is gone" },
     AgentDraining: { number: 1033, level: LogLevel.Info, text: "agent is draining" },
     AttachRefused: { number: 1034, level: LogLevel.Info, text: "attach refused" },
+    AgentIdle: { number: 1035, level: LogLevel.Info, text: "connection of an agent that did not attach closed" },
     IssuerFenced: { number: 1040, level: LogLevel.Error, text: "incarnation was fenced, taking a new one" },
     SettlementStarted: { number: 1041, level: LogLevel.Warn, text: "settlement of the ticket started" },
     SettlementRecords: { number: 1042, level: LogLevel.Info, text: "agent answered with its records" },
--- a/src/entry/controllers/AgentRecords.ts
+++ b/src/entry/controllers/AgentRecords.ts
@@ -22,6 +22,9 @@
     private readonly outcomes = new Map<number, Outcome | undefined>();
     private complete = false;
     private answered = false;
+    private digest: string | undefined;
+    private aborting = false;
+    private channel: Channel | undefined;
 
     constructor(
         private readonly clock: Clock,
@@ -31,6 +34,11 @@
         private readonly until: number,
     ) {}
 
+    /** Incarnation of the agent. */
+    public get incarnation(): string {
+        return this.agent.incarnation;
+    }
+
     /** Always resolves; a lost or restarted agent gives incomplete records. */
     public async fetch(): Promise<Settled> {
         for (let tries = 1; tries <= MAX_TRIES; tries++) {
@@ -40,7 +48,14 @@
             }
             await this.pause();
         }
-        return { complete: this.complete, outcomes: this.outcomes };
+        return { complete: this.complete, digest: this.digest, outcomes: this.outcomes };
+    }
+
+    /** Asks the agent to abort the ticket's running tasks, on this connection or the next one. */
+    public abort(): void {
+        this.aborting = true;
+        const { issuer, sequence } = this.ticket;
+        this.channel?.send({ kind: "cancel", issuer, sequence });
     }
 
     private async attempt(): Promise<Step> {
@@ -84,6 +99,10 @@
                 });
             });
             channel.send({ kind: "settle", issuer, sequence, agent: this.agent.incarnation });
+            this.channel = channel;
+            if (this.aborting) {
+                this.abort();
+            }
         });
     }
 
@@ -101,6 +120,7 @@
         else {
             this.answered = true;
             this.complete = message.complete;
+            this.digest = message.digest ?? undefined;
             for (const record of message.tasks) {
                 this.outcomes.set(record.task, record.outcome ?? undefined);
             }
--- a/src/entry/controllers/Agents.test.ts
+++ b/src/entry/controllers/Agents.test.ts
@@ -56,6 +56,7 @@
         agents = new Agents({
             clock,
             log: new SilentLog(),
+            region: "r",
             members: { live: () => [], home: () => undefined, onChange: new Emitter<void>().event },
             dial: () => dial(),
             queued: () => 3,
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -16,18 +16,23 @@
 import type { AgentNotice } from "./AgentNotice.js";
 import { AgentSession } from "./AgentSession.js";
 import type { Dialer } from "./Dialer.js";
-import { isRefused } from "./isRefused.js";
+import { isGone } from "./isGone.js";
 
 const HEARTBEAT_MS = 1000;
 const MISSED_HEARTBEATS = 3;
 const PROBE_INTERVAL_MS = 1000;
 
+/** Time for an agent to attach; agents that only look for entries close their connections within a few seconds. */
+const ATTACH_LIMIT_MS = 10_000;
+
 /** Probes of a lost agent end after this time; jobs that wait for it end by their own deadlines. */
 const PROBE_LIMIT_MS = 600_000;
 
 interface Parts {
     readonly clock: Clock;
     readonly log: Log;
+    /** Region of this entry; agents of other regions are refused. */
+    readonly region: string;
     readonly members: MemberView;
     readonly dial: Dialer;
     /** Tasks waiting for a slot of the service, reported with each heartbeat. */
@@ -57,7 +62,11 @@
     /** Takes over a channel from an agent; agents that only look for entries never attach. */
     public accept(channel: Channel): void {
         this.channels.add(channel);
+        const cancelLimit = this.parts.clock.schedule(ATTACH_LIMIT_MS, () => {
+            this.closeUnattached(channel);
+        });
         channel.onClose(reason => {
+            cancelLimit();
             this.channels.delete(channel);
             this.detach(channel, reason);
         });
@@ -180,9 +189,10 @@
     }
 
     private attach(channel: Channel, message: MessageOf<"attach">): void {
-        if (this.draining && !this.probes.has(channel.peer.incarnation)) {
-            this.parts.log.write(EntryEvent.AttachRefused, { agent: channel.peer.id, reason: "draining" });
-            channel.send({ kind: "attached", accepted: false, reason: "draining" });
+        const refusal = this.refuseAttach(channel);
+        if (refusal !== undefined) {
+            this.parts.log.write(EntryEvent.AttachRefused, { agent: channel.peer.id, reason: refusal });
+            channel.send({ kind: "attached", accepted: false, reason: refusal });
             return;
         }
         const { incarnation } = channel.peer;
@@ -199,6 +209,20 @@
         this.events.fire({ kind: "attached", service: session.service, agent: incarnation, profile: session.profile });
     }
 
+    private refuseAttach({ peer }: Channel): string | undefined {
+        if (peer.region !== this.parts.region) {
+            return `the agent is in region ${peer.region}, this entry is in region ${this.parts.region}`;
+        }
+        return this.draining && !this.probes.has(peer.incarnation) ? "draining" : undefined;
+    }
+
+    private closeUnattached(channel: Channel): void {
+        if (this.sessions.get(channel.peer.incarnation)?.channel !== channel) {
+            this.parts.log.write(EntryEvent.AgentIdle, { agent: channel.peer.id, limitMs: ATTACH_LIMIT_MS });
+            channel.close("not attached in time");
+        }
+    }
+
     private detach(channel: Channel, reason: string): void {
         const session = this.sessions.get(channel.peer.incarnation);
         if (session?.channel !== channel) {
@@ -218,7 +242,7 @@
             return;
         }
         const cancel = this.parts.clock.schedule(delayMs, () => {
-            void this.isGone(session).then(gone => {
+            void isGone(this.parts.dial, session.peer).then(gone => {
                 if (this.probes.get(agent) !== cancel) {
                     return;
                 }
@@ -245,18 +269,6 @@
         this.events.fire({ kind: "lost", service: session.service, agent });
     }
 
-    private async isGone(session: AgentSession): Promise<boolean> {
-        try {
-            const channel = await this.parts.dial(session.peer.address);
-            const gone = channel.peer.incarnation !== session.peer.incarnation;
-            channel.close("probe");
-            return gone;
-        }
-        catch (error) {
-            return isRefused(error);
-        }
-    }
-
     private scheduleHeartbeat(): void {
         this.cancelHeartbeat = this.parts.clock.schedule(HEARTBEAT_MS, () => {
             this.scheduleHeartbeat();
--- a/src/entry/controllers/Dispatch.ts
+++ b/src/entry/controllers/Dispatch.ts
@@ -201,10 +201,11 @@
         job.begin(task, attempt, agent);
         this.parts.stories.record(job.key, EntryEvent.TaskPlaced, { task, attempt, agent, detail: reason });
         const { payload } = request;
+        const { digest } = job;
         const budgetMs = deadlineAt - this.parts.clock.now();
         const key = { issuer, sequence, task, attempt };
-        const queued = this.queued(service);
-        const sent = this.parts.agents.send(agent, { kind: "start", ...key, payload, budgetMs, repeatable, queued });
+        const start = { ...key, payload, digest, budgetMs, repeatable, queued: this.queued(service) };
+        const sent = this.parts.agents.send(agent, { kind: "start", ...start });
         if (!sent) {
             const error = { code: FaultCode.Draining, message: "the agent's connection closed before the start" };
             this.endAttempt(job, agent, { task, attempt, verdict: Verdict.NotRun, ok: false, error, runMs: 0 });
@@ -243,7 +244,7 @@
         );
         const detail = ok ? "ok" : `${verdict} ${code}`;
         this.parts.stories.record(job.key, EntryEvent.TaskEnded, { task, attempt, agent, detail });
-        job.closeAttempt(task);
+        job.closeAttempt(task, resultOf(outcome));
         if (ENDS_JOB.has(code)) {
             this.parts.stop(job, new Fault(code as FaultCode, "another entry settled the ticket of this job"));
         }
--- a/src/entry/controllers/Job.ts
+++ b/src/entry/controllers/Job.ts
@@ -10,6 +10,9 @@
 import type { TaskResult } from "./TaskResult.js";
 import { ticketKey } from "./ticketKey.js";
 
+/** 16 bytes keep a start short; submissions under one ticket are too few for an accidental match. */
+const DIGEST_BYTES = 16;
+
 /** Attempt that was started and has no result yet. `known` is false while its fate is unknown. */
 interface OpenAttempt {
     readonly task: number;
@@ -21,7 +24,8 @@
 /** One submission under its ticket: results and open attempts of its tasks, and its final answer. */
 export class Job {
     public readonly key: string;
-    public readonly bodyHash: string;
+    /** Digest of the submission, as `Job.digest` returns it. */
+    public readonly digest: string;
     public readonly stopOnFailure: boolean;
     /** Resolves once, with the final answer. */
     public readonly done: Promise<Answer>;
@@ -29,6 +33,8 @@
     public stopReason: Answer["reason"];
     private readonly results = new Map<number, TaskResult>();
     private readonly attempts = new Map<number, OpenAttempt>();
+    /** Failures of earlier attempts that ran or may have run, by task. */
+    private readonly failures = new Map<number, TaskResult>();
     private readonly taskCount: number;
     private tasks: readonly TaskRequest[];
     private resolveDone: (answer: Answer) => void = () => undefined;
@@ -41,7 +47,7 @@
         public readonly deadlineAt: number,
     ) {
         this.key = ticketKey(ticket);
-        this.bodyHash = Job.hash(request);
+        this.digest = Job.digest(request);
         this.stopOnFailure = request.onFailure === FailurePolicy.Stop;
         this.tasks = request.tasks;
         this.taskCount = request.tasks.length;
@@ -51,9 +57,9 @@
     }
 
     /** Digest of what makes two submissions the same body; the deadline may differ between them. */
-    public static hash(request: JobRequest): string {
+    public static digest(request: JobRequest): string {
         const body = JSON.stringify([request.service, request.onFailure, request.tasks]);
-        return createHash("sha256").update(body).digest("base64");
+        return createHash("sha256").update(body).digest().subarray(0, DIGEST_BYTES).toString("base64url");
     }
 
     /** Final answer, or the running state. */
@@ -87,18 +93,25 @@
         return this.attempts.get(task);
     }
 
-    /** Closes the open attempt of a task without a result. */
-    public closeAttempt(task: number): void {
+    /** Closes the open attempt of a task; a failure after which the task has run or may have run is remembered. */
+    public closeAttempt(task: number, result: TaskResult): void {
         this.attempts.delete(task);
+        if (!result.ok && result.verdict !== Verdict.NotRun) {
+            this.failures.set(task, result);
+        }
     }
 
-    /** Records the first result of a task; the last one makes the answer final. Returns true when that happened. */
+    /**
+     * Records the first result of a task; the last one makes the answer final. Returns true when that happened. A task
+     * whose last attempt was not run keeps the failure of an earlier attempt that ran or may have run.
+     */
     public setResult(task: number, result: TaskResult): boolean {
         this.attempts.delete(task);
         if (this.finished || this.results.has(task)) {
             return false;
         }
-        this.results.set(task, result);
+        const earlier = result.verdict === Verdict.NotRun ? this.failures.get(task) : undefined;
+        this.results.set(task, earlier ?? result);
         if (this.results.size < this.taskCount) {
             return false;
         }
@@ -113,6 +126,7 @@
         this.finalAnswer = answer;
         this.tasks = [];
         this.results.clear();
+        this.failures.clear();
         this.resolveDone(answer);
     }
 }
--- a/src/entry/controllers/Jobs.test.ts
+++ b/src/entry/controllers/Jobs.test.ts
@@ -67,7 +67,7 @@
             },
             tickets: this.ledger,
             stories: new Stories("e", new SilentLog()),
-            gather: () => Promise.resolve({ complete: false, outcomes: new Map() }),
+            gather: () => Promise.resolve({ complete: false, digest: undefined, outcomes: new Map() }),
             createScheduler: () => new FifoScheduler(),
         });
         for (const agent of AGENTS) {
--- a/src/entry/controllers/Jobs.ts
+++ b/src/entry/controllers/Jobs.ts
@@ -173,7 +173,7 @@
     }
 
     private join(job: Job, request: JobRequest): Either<Fault, Job> {
-        if (job.bodyHash !== Job.hash(request)) {
+        if (job.digest !== Job.digest(request)) {
             const message = "the ticket belongs to a job with another body; nothing of this body was run";
             this.parts.stories.record(job.key, EntryEvent.JobRefused, { detail: FaultCode.TicketConflict });
             return Left(new Fault(FaultCode.TicketConflict, message));
--- a/src/entry/controllers/Relay.ts
+++ b/src/entry/controllers/Relay.ts
@@ -10,7 +10,7 @@
 import { EntryEvent } from "../EntryEvent.js";
 import type { EntryIdentity } from "../EntryIdentity.js";
 import type { PeerCalls } from "../PeerCalls.js";
-import type { Job } from "./Job.js";
+import { Job } from "./Job.js";
 import { Jobs } from "./Jobs.js";
 import type { Settlement } from "./Settlement.js";
 import type { Stories } from "./Stories.js";
@@ -65,19 +65,19 @@
     public submit(request: JobRequest, waitMs: number): Promise<Answer> {
         const limitMs = Math.min(waitMs, request.deadlineMs + Jobs.graceMs + WAIT_MARGIN_MS);
         const ask = { ticket: request.ticket, request, waitMs: limitMs };
-        return this.ask(SUBMIT, ask, request.team, () => this.submitHere(ask), request.tasks.length);
+        return this.ask(SUBMIT, ask, request.team, () => this.submitHere(ask));
     }
 
     /** State of a job, after waiting up to `waitMs` for its end. */
     public status(ticket: string, team: string | undefined, waitMs: number): Promise<Answer> {
         const ask = { ticket, waitMs };
-        return this.ask(WAIT, ask, team, () => this.waitHere(ask), undefined);
+        return this.ask(WAIT, ask, team, () => this.waitHere(ask));
     }
 
     /** Cancels a job and returns its state. */
     public cancel(ticket: string, team: string | undefined): Promise<Answer> {
         const ask = { ticket, waitMs: 0 };
-        return this.ask(CANCEL, ask, team, () => this.cancelHere(ask), undefined);
+        return this.ask(CANCEL, ask, team, () => this.cancelHere(ask));
     }
 
     /** Steps of a job; when its issuer is lost, the steps of this entry's settlement. */
@@ -103,7 +103,6 @@
         ask: Ask,
         team: string | undefined,
         local: () => Promise<Answer>,
-        taskCount: number | undefined,
     ): Promise<Answer> {
         const ticket = this.decode(ask.ticket, team);
         if (this.isOwn(ticket)) {
@@ -111,8 +110,7 @@
         }
         const until = this.parts.clock.now() + ask.waitMs;
         if (ticket.address === this.parts.identity.current.address) {
-            const waitMs = Math.max(MIN_SETTLE_WAIT_MS, ask.waitMs);
-            return this.parts.settlement.settle(ticket, ask.ticket, taskCount, waitMs);
+            return this.settle(ticket, method, ask, until);
         }
         const detail = `${method} to ${ticket.address}`;
         this.parts.stories.record(ticketKey(ticket), EntryEvent.JobRelayed, { detail });
@@ -123,11 +121,21 @@
             if (!isLost(error)) {
                 throw error;
             }
-            const left = Math.max(MIN_SETTLE_WAIT_MS, until - this.parts.clock.now());
-            return this.parts.settlement.settle(ticket, ask.ticket, taskCount, left);
+            return this.settle(ticket, method, ask, until);
         }
     }
 
+    private settle(ticket: Ticket, method: string, ask: Ask, until: number): Promise<Answer> {
+        const { request } = ask;
+        const question = {
+            taskCount: request?.tasks.length,
+            digest: request === undefined ? undefined : Job.digest(request),
+            cancel: method === CANCEL,
+        };
+        const waitMs = Math.max(MIN_SETTLE_WAIT_MS, until - this.parts.clock.now());
+        return this.parts.settlement.settle(ticket, ask.ticket, question, waitMs);
+    }
+
     /** Calls the issuer, then asks again in slices until the job is final or the time is over. */
     private async follow(ticket: Ticket, method: string, ask: Ask, until: number): Promise<Answer> {
         let answer = await this.callIssuer(ticket, method, { ...ask, waitMs: this.slice(until) });
--- a/src/entry/controllers/Settled.ts
+++ b/src/entry/controllers/Settled.ts
@@ -4,6 +4,8 @@
 export interface Settled {
     /** True when every agent of the set answered with complete records. */
     readonly complete: boolean;
+    /** Digest of the submission that the records belong to; undefined when no task is on record. */
+    readonly digest: string | undefined;
     /** Outcome of the latest attempt of each task on record; undefined when its end was not seen. */
     readonly outcomes: ReadonlyMap<number, Outcome | undefined>;
 }
--- a/src/entry/controllers/Settlement.ts
+++ b/src/entry/controllers/Settlement.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../../common/Clock.js";
+import { Fault } from "../../common/Fault.js";
 import { FaultCode } from "../../common/FaultCode.js";
 import type { Answer } from "../../common/job/Answer.js";
 import { JobState } from "../../common/job/JobState.js";
@@ -27,25 +28,47 @@
     readonly stories: Stories;
 }
 
+/** What the caller of a settled ticket asks for. */
+interface Question {
+    /** Number of tasks of the submission; undefined when the caller sent only the ticket. */
+    readonly taskCount?: number | undefined;
+    /** Digest of the submission; undefined when the caller sent only the ticket. */
+    readonly digest?: string | undefined;
+    /** True to abort the tasks that still run. */
+    readonly cancel: boolean;
+}
+
+/** One settlement in progress. */
+interface Run {
+    readonly settled: Promise<Settled>;
+    readonly agents: readonly AgentRecords[];
+}
+
 /** Settles tickets whose issuer is lost: fences them on their agents and collects what ran. It never starts a task. */
 export class Settlement {
-    private readonly active = new Map<string, Promise<Settled>>();
+    private readonly active = new Map<string, Run>();
     private readonly sizes = new Map<string, number>();
 
     constructor(private readonly parts: Parts) {}
 
-    /** Answers within `waitMs`; `taskCount` is undefined when the caller sent only the ticket. */
-    public async settle(
-        ticket: Ticket,
-        ticketText: string,
-        taskCount: number | undefined,
-        waitMs: number,
-    ): Promise<Answer> {
+    /** Answers within `waitMs`, or rejects when the records belong to another submission under the same ticket. */
+    public async settle(ticket: Ticket, ticketText: string, question: Question, waitMs: number): Promise<Answer> {
+        const { taskCount, digest, cancel } = question;
         const key = ticketKey(ticket);
-        if (taskCount !== undefined) {
-            this.rememberSize(key, taskCount);
+        const run = this.begin(ticket);
+        if (cancel) {
+            for (const agent of run.agents) {
+                agent.abort();
+            }
         }
-        const settled = await waitUpTo(this.parts.clock, this.gather(ticket), waitMs);
+        const checked = run.settled.then(settled => {
+            refuseOther(settled, digest);
+            if (taskCount !== undefined) {
+                this.rememberSize(key, taskCount);
+            }
+            return settled;
+        });
+        const settled = await waitUpTo(this.parts.clock, checked, waitMs);
         return settled === undefined
             ? { ticket: ticketText, state: JobState.Running, verdict: Verdict.MayHaveRun, tasks: [] }
             : this.toAnswer(ticketText, settled, taskCount ?? this.sizes.get(key));
@@ -53,23 +76,30 @@
 
     /** Fences the ticket on every agent of its set and collects the records; concurrent calls share one run. */
     public gather(ticket: Ticket): Promise<Settled> {
+        return this.begin(ticket).settled;
+    }
+
+    private begin(ticket: Ticket): Run {
         const key = ticketKey(ticket);
         const running = this.active.get(key);
         if (running !== undefined) {
             return running;
         }
-        const run = this.collect(ticket, key).finally(() => {
+        const { clock, dial } = this.parts;
+        const until = clock.now() + MAX_FOLLOW_MS;
+        const agents = ticket.agents.map(agent => new AgentRecords(clock, dial, ticket, agent, until));
+        const settled = this.collect(ticket, key, agents).finally(() => {
             this.active.delete(key);
         });
+        const run = { settled, agents };
         this.active.set(key, run);
         return run;
     }
 
-    private async collect(ticket: Ticket, key: string): Promise<Settled> {
+    private async collect(ticket: Ticket, key: string, agents: readonly AgentRecords[]): Promise<Settled> {
         this.parts.stories.record(key, EntryEvent.SettlementStarted, { detail: `${ticket.agents.length} agents` });
-        const until = this.parts.clock.now() + MAX_FOLLOW_MS;
-        const answers = await Promise.all(ticket.agents.map(async agent => {
-            const records = await new AgentRecords(this.parts.clock, this.parts.dial, ticket, agent, until).fetch();
+        const answers = await Promise.all(agents.map(async agent => {
+            const records = await agent.fetch();
             const event = records.complete ? EntryEvent.SettlementRecords : EntryEvent.SettlementNoRecords;
             const detail = `${records.outcomes.size} tasks on record`;
             this.parts.stories.record(key, event, { agent: agent.incarnation, detail });
@@ -106,6 +136,14 @@
     }
 }
 
+/** Throws when the tasks on record belong to another submission; nothing of this one was started. */
+function refuseOther(settled: Settled, digest: string | undefined): void {
+    if (digest !== undefined && settled.digest !== undefined && digest !== settled.digest) {
+        const message = "the ticket belongs to a job with another body; nothing of this body was run";
+        throw new Fault(FaultCode.TicketConflict, message);
+    }
+}
+
 /** One task may have attempts on several agents; the result that ran counts, then the latest attempt. */
 function merge(answers: readonly Settled[]): Settled {
     const outcomes = new Map<number, Outcome | undefined>();
@@ -116,7 +154,8 @@
             }
         }
     }
-    return { complete: answers.every(answer => answer.complete), outcomes };
+    const digest = answers.find(answer => answer.digest !== undefined)?.digest;
+    return { complete: answers.every(answer => answer.complete), digest, outcomes };
 }
 
 function outranks(a: Outcome | undefined, b: Outcome | undefined): boolean {
--- /dev/null
+++ b/src/test/Deployment.ts
@@ -0,0 +1,263 @@
+import assert from "node:assert/strict";
+import { Agent } from "../agent/Agent.js";
+import type { Answer } from "../common/job/Answer.js";
+import { SilentLog } from "../common/log/SilentLog.js";
+import { NoMetrics } from "../common/NoMetrics.js";
+import type { RunningRole } from "../common/RunningRole.js";
+import type { Runtime } from "../common/Runtime.js";
+import { SeededRandom } from "../common/SeededRandom.js";
+import { AgentSettings } from "../common/settings/AgentSettings.js";
+import { EndpointSettings } from "../common/settings/EndpointSettings.js";
+import { EntrySettings } from "../common/settings/EntrySettings.js";
+import { SystemClock } from "../common/SystemClock.js";
+import type { Ticket } from "../common/ticket/Ticket.js";
+import { TicketCodec } from "../common/ticket/TicketCodec.js";
+import { Endpoint } from "../endpoint/Endpoint.js";
+import { Entry } from "../entry/Entry.js";
+import { Platform } from "../platform/Platform.js";
+import { FastClock } from "./FastClock.js";
+import { Link } from "./Link.js";
+import { LinkRules } from "./LinkRules.js";
+
+const HOST = "127.0.0.1";
+const FREE = { host: HOST, port: 0 };
+const SECRET = "a secret of the deployment";
+const TOKEN = "token of the tour team";
+const TEAM = "tour";
+
+/** Heartbeats and time limits of entries and agents run this many times faster than real time. */
+const CLOCK_FACTOR = 3;
+
+const WAIT_LIMIT_MS = 40_000;
+const POLL_MS = 10;
+
+interface Reply {
+    readonly status: number;
+    readonly body: Answer & {
+        readonly tickets: readonly string[];
+        readonly error?: { readonly code: string; readonly message: string; };
+        readonly members: readonly { readonly id: string; }[];
+        readonly steps: readonly { readonly event: number; readonly task?: number; }[];
+        readonly revision: number;
+    };
+}
+
+/** Entries, agents and endpoints in one process whose connections to each other pass through links. */
+export class Deployment {
+    public readonly service = TEAM;
+    public readonly rules = new LinkRules();
+    public readonly entries = new Map<string, Entry>();
+    public readonly agents = new Map<string, Agent>();
+    public readonly endpoints = new Map<string, Endpoint>();
+    private readonly links = new Map<string, Link>();
+    private readonly clock = new FastClock(CLOCK_FACTOR);
+
+    private constructor(public readonly platform: Platform) {}
+
+    /** Starts the platform, entries and agents by name, registers the service and waits until every agent is attached. */
+    public static async start(entries: readonly string[], agents: readonly string[], slots = 4): Promise<Deployment> {
+        const runtime = runtimeOf("platform", new SystemClock());
+        const deployment = new Deployment(await Platform.start({ http: FREE, writeDelayMs: 0 }, runtime));
+        for (const id of entries) {
+            await deployment.startEntry(id);
+        }
+        await deployment.registerService();
+        for (const id of agents) {
+            await deployment.startAgent(id, slots);
+        }
+        await deployment.converge(entries, agents.length);
+        return deployment;
+    }
+
+    /** Resolves when `condition` holds; fails with `what` after a generous limit. */
+    public static async until(what: string, condition: () => boolean | Promise<boolean>): Promise<void> {
+        const end = performance.now() + WAIT_LIMIT_MS;
+        while (!await condition()) {
+            assert.ok(performance.now() < end, `timed out waiting for ${what}`);
+            await new Promise(resolve => setTimeout(resolve, POLL_MS));
+        }
+    }
+
+    /** Starts of each task at any endpoint, by `issuer/sequence/task`. */
+    public get starts(): ReadonlyMap<string, number> {
+        const starts = new Map<string, number>();
+        for (const [task, count] of [...this.endpoints.values()].flatMap(endpoint => [...endpoint.starts])) {
+            starts.set(task, (starts.get(task) ?? 0) + count);
+        }
+        return starts;
+    }
+
+    public get running(): number {
+        return [...this.endpoints.values()].reduce((sum, endpoint) => sum + endpoint.running, 0);
+    }
+
+    public async startEntry(id: string, failureDomain = `domain-${id}`, region = "r"): Promise<Entry> {
+        const link = await this.link(id);
+        const settings = EntrySettings.parse({
+            id,
+            region,
+            failureDomain,
+            listen: FREE,
+            http: FREE,
+            advertise: link.address,
+            secret: SECRET,
+            tokens: [{ token: TOKEN, role: "admin", team: TEAM }],
+            entries: this.seeds(id),
+            platform: { url: `http://${HOST}:${this.platform.port}`, timeoutMs: 500 },
+        });
+        const entry = await Entry.start(settings, runtimeOf(id, this.clock));
+        link.targetPort = entry.wirePort;
+        this.entries.set(id, entry);
+        return entry;
+    }
+
+    public async startAgent(id: string, slots: number, more: object = {}): Promise<Agent> {
+        const link = await this.link(id);
+        const settings = AgentSettings.parse({
+            id,
+            region: "r",
+            failureDomain: `domain-${id}`,
+            rack: `rack-${id}`,
+            listen: FREE,
+            advertise: link.address,
+            announce: FREE,
+            secret: SECRET,
+            entries: this.seeds(id),
+            ...more,
+        });
+        const agent = await Agent.start(settings, runtimeOf(id, this.clock));
+        link.targetPort = agent.port;
+        this.agents.set(id, agent);
+        const endpoint = EndpointSettings.parse({
+            service: TEAM,
+            http: FREE,
+            agent: `http://${HOST}:${agent.announcePort}`,
+            slots,
+        });
+        this.endpoints.set(id, await Endpoint.start(endpoint, runtimeOf(id, new SystemClock())));
+        return agent;
+    }
+
+    /** Ends an entry or an agent without a farewell. */
+    public async kill(id: string): Promise<void> {
+        this.links.get(id)?.dispose();
+        this.links.delete(id);
+        await this.entries.get(id)?.dispose();
+        await this.agents.get(id)?.dispose();
+        this.entries.delete(id);
+        this.agents.delete(id);
+    }
+
+    /** Waits until the entries know each other and `agents` agents are attached to them. */
+    public async converge(entries: readonly string[], agents: number): Promise<void> {
+        await Deployment.until("members and agents", async () => {
+            const counts = await Promise.all(entries.map(async id => {
+                const { body } = await this.call(id, "GET", "/v1/members");
+                return body.members.length === entries.length ? this.attachedTo(id) : -Infinity;
+            }));
+            return counts.reduce((sum, count) => sum + count, 0) === agents;
+        });
+    }
+
+    /** Number of agents attached to an entry. */
+    public async attachedTo(id: string): Promise<number> {
+        const { body } = await this.call(id, "GET", "/v1/services");
+        const { services } = body as unknown as { services: { name: string; agents: number; }[]; };
+        return services.find(service => service.name === TEAM)?.agents ?? 0;
+    }
+
+    /** Id of the entry that issued a ticket from `id`, by the ticket itself. */
+    public issuerOf(ticket: string): string {
+        const { issuer } = decodeTicket(ticket);
+        return [...this.entries].find(([, entry]) => entry.identity.incarnation === issuer)?.[0] ?? "";
+    }
+
+    /** Key under which the endpoints count the starts of a task. */
+    public taskKey(ticket: string, task: number): string {
+        const { issuer, sequence } = decodeTicket(ticket);
+        return `${issuer}/${sequence}/${task}`;
+    }
+
+    public async ticket(entry: string): Promise<string> {
+        const { body } = await this.call(entry, "POST", "/v1/tickets", { service: TEAM, count: 1 });
+        const [ticket] = body.tickets;
+        assert.ok(ticket !== undefined);
+        return ticket;
+    }
+
+    /** Submits a job whose tasks run for `runMs` and answer their `value`; waits for the answer unless told not to. */
+    public submit(
+        entry: string,
+        ticket: string,
+        tasks: readonly { readonly runMs: number; readonly value: unknown; readonly fail?: boolean; }[],
+        more: object = {},
+    ): Promise<Reply> {
+        const { repeatable, signal, ...fields } = more as { repeatable?: boolean; signal?: AbortSignal; };
+        const body = tasks.map(payload => ({ payload, ...repeatable === true ? { repeatable } : {} }));
+        const fixed = { ticket, service: TEAM, tasks: body };
+        const whole = { deadlineMs: 60_000, wait: true, ...fixed, ...fields };
+        return this.call(entry, "POST", "/v1/jobs", whole, {}, signal);
+    }
+
+    public async call(
+        entry: string,
+        method: string,
+        path: string,
+        body?: unknown,
+        headers = {},
+        signal?: AbortSignal,
+    ): Promise<Reply> {
+        const response = await fetch(`http://${HOST}:${this.entries.get(entry)?.httpPort ?? 0}${path}`, {
+            method,
+            headers: { authorization: `Bearer ${TOKEN}`, connection: "close", ...headers },
+            ...signal === undefined ? {} : { signal },
+            ...body === undefined ? {} : { body: JSON.stringify(body) },
+        });
+        return { status: response.status, body: await response.json() as Reply["body"] };
+    }
+
+    /** Changes the faults of the platform's store. */
+    public async setStore(plan: object): Promise<void> {
+        const url = `http://${HOST}:${this.platform.port}/v1/faults`;
+        const response = await fetch(url, { method: "POST", body: JSON.stringify(plan) });
+        assert.equal(response.status, 200);
+    }
+
+    public async dispose(): Promise<void> {
+        const roles: RunningRole[] = [...this.endpoints.values(), ...this.agents.values(), ...this.entries.values()];
+        await Promise.all(roles.map(role => role.dispose()));
+        await this.platform.dispose();
+        for (const link of this.links.values()) {
+            link.dispose();
+        }
+    }
+
+    private async registerService(): Promise<void> {
+        const [first] = this.entries.keys();
+        const section = { team: TEAM, services: { [TEAM]: {} } };
+        const path = `/v1/config/sections/${TEAM}`;
+        const { status } = await this.call(first ?? "", "PUT", path, section, { "if-none-match": "*" });
+        assert.equal(status, 200);
+    }
+
+    private async link(id: string): Promise<Link> {
+        const link = await Link.start(id, this.rules);
+        this.links.set(id, link);
+        return link;
+    }
+
+    private seeds(id: string): string[] {
+        return [...this.entries.keys()].filter(entry => entry !== id).flatMap(entry =>
+            this.links.get(entry)?.address ?? []
+        );
+    }
+}
+
+function decodeTicket(ticket: string): Ticket {
+    return new TicketCodec(SECRET).decode(ticket).unsafeCoerce();
+}
+
+function runtimeOf(id: string, clock: Runtime["clock"]): Runtime {
+    const seed = Buffer.from(id).reduce((sum, byte) => (sum * 31 + byte) % 65_521, 7);
+    return { clock, log: new SilentLog(), metrics: new NoMetrics(), random: new SeededRandom(seed) };
+}
--- a/src/test/FakeEntry.ts
+++ b/src/test/FakeEntry.ts
@@ -97,7 +97,16 @@
     public start(sequence: number, payload: unknown, more: Partial<MessageOf<"start">> = {}): void {
         this.credits -= 1;
         const fixed = { kind: "start" as const, issuer: this.incarnation, sequence, payload };
-        this.send({ task: 0, attempt: 1, budgetMs: 10_000, repeatable: false, queued: 0, ...fixed, ...more });
+        this.send({
+            task: 0,
+            attempt: 1,
+            digest: "",
+            budgetMs: 10_000,
+            repeatable: false,
+            queued: 0,
+            ...fixed,
+            ...more,
+        });
     }
 
     /** Opens a channel to an agent's listener, as a settling entry does. */
--- /dev/null
+++ b/src/test/faultsCallers.test.ts
@@ -0,0 +1,189 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { SeededRandom } from "../common/SeededRandom.js";
+import { Deployment } from "./Deployment.js";
+
+const TEST_LIMIT_MS = 90_000;
+
+describe("faults that callers see", { timeout: 5 * TEST_LIMIT_MS }, () => {
+    let deployment: Deployment;
+
+    afterEach(async () => {
+        await deployment.dispose();
+    });
+
+    function assertOneStartEach(): void {
+        for (const [task, count] of deployment.starts) {
+            assert.equal(count, 1, `task ${task} was started ${count} times`);
+        }
+    }
+
+    describe("late answers and answers out of order", () => {
+        for (const seed of [1, 2]) {
+            it(`guards against an output in another caller's answer, seed ${seed}`, async () => {
+                const names = ["e1", "e2", "e3"];
+                deployment = await Deployment.start(names, ["a1", "a2", "a3"], 8);
+                const random = new SeededRandom(seed);
+                deployment.rules.delayMs = () => random.next() * 40;
+                const jobs = Array.from({ length: 90 }, (_, job) => job);
+                await Promise.all(jobs.map(async job => {
+                    const entry = names[job % names.length] ?? "";
+                    const ticket = await deployment.ticket(names[(job + 1) % names.length] ?? "");
+                    const tasks = Array.from({ length: 1 + job % 6 }, (_, task) => {
+                        return { runMs: Math.floor(random.next() * 60), value: `${job}/${task}` };
+                    });
+                    const twice = [deployment.submit(entry, ticket, tasks), deployment.submit("e1", ticket, tasks)];
+                    for (const { body } of await Promise.all(twice)) {
+                        assert.equal(body.state, "complete", JSON.stringify(body.reason));
+                        const outputs = body.tasks.map(task => (task.output as { value: unknown; }).value);
+                        assert.deepEqual(outputs, tasks.map(task => task.value));
+                    }
+                }));
+                assertOneStartEach();
+            });
+        }
+    });
+
+    describe("waves of cancellations", () => {
+        it("guards against starts of cancelled tasks, running tasks that stay and slots that are lost", async () => {
+            const names = ["e1", "e2"];
+            deployment = await Deployment.start(names, ["a1", "a2"], 4);
+            const slots = 8;
+            for (let wave = 0; wave < 3; wave++) {
+                const before = deployment.starts.size;
+                const tickets = await Promise.all(Array.from({ length: 150 }, () => deployment.ticket("e1")));
+                const tasks = [{ runMs: 600_000, value: 1 }, { runMs: 600_000, value: 2 }];
+                await Promise.all(tickets.map((ticket, index) => {
+                    return deployment.submit(names[index % 2] ?? "", ticket, tasks, {
+                        wait: false,
+                        deadlineMs: 300_000,
+                    });
+                }));
+                await Deployment.until("full slots", () => deployment.running >= slots * 0.8 - 1);
+                // Queued jobs first, so that none of their tasks finds a slot of a cancelled one.
+                const isRunning = (ticket: string) =>
+                    [0, 1].some(task => {
+                        return deployment.starts.has(deployment.taskKey(ticket, task));
+                    });
+                const queued = tickets.filter(ticket => !isRunning(ticket));
+                const cancel = (ticket: string, index: number) => {
+                    return deployment.call(names[index % 2] ?? "", "DELETE", `/v1/jobs/${ticket}`);
+                };
+                const cancelled = await Promise.all(queued.map(cancel));
+                assert.ok(cancelled.every(({ body }) => body.verdict === "not_run" && body.state === "failed"));
+                await Promise.all(tickets.filter(isRunning).map(cancel));
+                await Deployment.until("the aborts", () => deployment.running === 0);
+                assert.ok(deployment.starts.size - before <= slots, "queued tasks cost no start");
+                const short = Array.from({ length: 40 }, (_, value) => ({ runMs: 5, value }));
+                const { body } = await deployment.submit("e1", await deployment.ticket("e1"), short);
+                assert.equal(body.state, "complete", JSON.stringify(body.reason));
+                const full = Array.from({ length: slots }, (_, value) => ({ runMs: 400, value }));
+                const again = deployment.submit("e1", await deployment.ticket("e1"), full);
+                await Deployment.until("every slot in use", () => deployment.running >= slots * 0.8 - 1);
+                assert.equal((await again).body.state, "complete");
+            }
+            assertOneStartEach();
+        });
+
+        it("guards against ending a job because its caller's connection closed", async () => {
+            deployment = await Deployment.start(["e1"], ["a1"]);
+            const ticket = await deployment.ticket("e1");
+            const tasks = [{ runMs: 500, value: "kept" }];
+            const abort = new AbortController();
+            const dropped = deployment.submit("e1", ticket, tasks, { signal: abort.signal });
+            await Deployment.until("the start", () => deployment.running === 1);
+            abort.abort();
+            await assert.rejects(dropped);
+            const { body } = await deployment.call("e1", "GET", `/v1/jobs/${ticket}?waitMs=60000`);
+            assert.equal(body.state, "complete");
+            assertOneStartEach();
+        });
+    });
+
+    describe("endpoints", () => {
+        it("guards against starts on an endpoint that has withdrawn", async () => {
+            deployment = await Deployment.start(["e1", "e2"], ["a1", "a2"]);
+            const jobs: Promise<string>[] = [];
+            let submitting = true;
+            const load = async () => {
+                while (submitting) {
+                    const ticket = await deployment.ticket("e1");
+                    const tasks = [1, 2].map(value => ({ runMs: 20, value }));
+                    jobs.push(deployment.submit("e2", ticket, tasks).then(({ body }) => body.state));
+                    await Deployment.until("room", () => deployment.running < 8);
+                }
+            };
+            const loading = load();
+            const leaving = deployment.endpoints.get("a1");
+            await Deployment.until("starts on both", () => {
+                return [...deployment.endpoints.values()].every(endpoint => endpoint.starts.size > 10);
+            });
+            assert.deepEqual(await leaving?.drain(20_000), []);
+            const starts = leaving?.starts.size;
+            const other = deployment.endpoints.get("a2")!;
+            const seen = other.starts.size;
+            await Deployment.until("further starts elsewhere", () => other.starts.size > seen + 50);
+            submitting = false;
+            await loading;
+            const states = await Promise.all(jobs);
+            assert.equal(leaving?.starts.size, starts);
+            assert.ok(states.every(state => state === "complete"), "a planned stop fails no job");
+            assertOneStartEach();
+        });
+
+        it("guards against a dishonest verdict or a hang when every endpoint fails", async () => {
+            deployment = await Deployment.start(["e1"], ["a1", "a2"]);
+            for (const endpoint of deployment.endpoints.values()) {
+                endpoint.failureShare = 1;
+            }
+            const tasks = Array.from({ length: 20 }, (_, value) => ({ runMs: 5, value }));
+            const more = { onFailure: "continue", deadlineMs: 20_000 };
+            const ticket = await deployment.ticket("e1");
+            const { body } = await deployment.submit("e1", ticket, tasks, more);
+            assert.equal(body.state, "failed");
+            body.tasks.forEach(({ verdict }, task) => {
+                const started = deployment.starts.has(deployment.taskKey(ticket, task));
+                assert.equal(verdict, started ? "ran" : "not_run");
+            });
+            for (const endpoint of deployment.endpoints.values()) {
+                endpoint.failureShare = 0;
+            }
+            await Deployment.until("recovery", async () => {
+                const after = await deployment.submit("e1", await deployment.ticket("e1"), [{ runMs: 1, value: 1 }]);
+                return after.body.state === "complete";
+            });
+            assertOneStartEach();
+        });
+
+        it("guards against not_run for a repeatable task that ran, failed and was never retried", async () => {
+            deployment = await Deployment.start(["e1"], ["a1"], 1);
+            const failing = [{ runMs: 5, value: 1, fail: true }];
+            const verdicts = new Set<string>();
+            for (let round = 0; round < 8; round++) {
+                const ticket = await deployment.ticket("e1");
+                const reply = deployment.submit("e1", ticket, failing, { repeatable: true });
+                await Deployment.until("the first start", () => {
+                    return deployment.starts.has(deployment.taskKey(ticket, 0));
+                });
+                await deployment.call("e1", "DELETE", `/v1/jobs/${ticket}`);
+                verdicts.add((await reply).body.verdict);
+            }
+            assert.ok(!verdicts.has("not_run"), [...verdicts].join(", "));
+        });
+
+        it("guards against queueing a job that can never run", async () => {
+            deployment = await Deployment.start(["e1"], ["a1"], 2);
+            const tooLarge = [{ runMs: 1, value: "x".repeat(100_000) }];
+            const large = await deployment.submit("e1", await deployment.ticket("e1"), tooLarge);
+            assert.ok(large.status >= 400 && large.body.verdict === "not_run", JSON.stringify(large.body));
+            const ticket = await deployment.ticket("e1");
+            await deployment.kill("a1");
+            const tasks = [{ runMs: 1, value: 1 }];
+            await Deployment.until("an honest failure", async () => {
+                const { body } = await deployment.submit("e1", ticket, tasks, { deadlineMs: 600_000, wait: false });
+                return body.verdict === "not_run";
+            });
+            assert.equal(deployment.starts.size, 0);
+        });
+    });
+});
