--- a/src/entry/controllers/Jobs.test.ts
+++ b/src/entry/controllers/Jobs.test.ts
@@ -70,7 +70,7 @@
             },
             tickets: this.ledger,
             stories: new Stories("e", new SilentLog()),
-            gather: () => Promise.resolve({ complete: false, outcomes: new Map() }),
+            gather: () => Promise.resolve({ complete: false, digest: undefined, outcomes: new Map() }),
             createScheduler: scheduler,
         });
         for (const agent of AGENTS) {
