Send heartbeats only on connections that are silent

Change: an entry sends one when no start told the load for a second or the revision changed; an agent when it sent nothing for a second or its revision changed. Both look every 250 ms, so silence lasts at most 1.25 s and detection stays at three seconds. Test: none beside two starts a second, one each second when idle.

--- a/src/agent/Attachment.ts
+++ b/src/agent/Attachment.ts
@@ -1,10 +1,15 @@
 import type { Clock } from "../common/Clock.js";
 import type { Log } from "../common/log/Log.js";
 import { WireEvent } from "../common/log/WireEvent.js";
-import type { Channel } from "../common/wire/Channel.js";
 import type { AttachmentState } from "./AttachmentState.js";
+import type { TimedChannel } from "./TimedChannel.js";
 
+/** Longest time without a message to an attached entry, give or take one look. */
 const HEARTBEAT_MS = 1000;
+
+/** Time between two looks at an attached connection. */
+const LOOK_MS = 250;
+
 const MISSED_HEARTBEATS = 3;
 const ATTACH_TIMEOUT_MS = 3000;
 
@@ -13,10 +18,11 @@
     public state: AttachmentState = "connected";
     private heardAt: number;
     private stateSince: number;
+    private toldRevision: number | undefined;
     private cancelTimer: () => void = () => undefined;
 
     constructor(
-        public readonly channel: Channel,
+        public readonly channel: TimedChannel,
         private readonly heartbeat: () => { load: number; revision: number; },
         private readonly clock: Clock,
         private readonly log: Log,
@@ -52,12 +58,12 @@
     }
 
     private schedule(): void {
-        this.cancelTimer = this.clock.schedule(HEARTBEAT_MS, () => {
-            this.beat();
+        this.cancelTimer = this.clock.schedule(LOOK_MS, () => {
+            this.look();
         });
     }
 
-    private beat(): void {
+    private look(): void {
         const limitMs = this.isAttached ? MISSED_HEARTBEATS * HEARTBEAT_MS : ATTACH_TIMEOUT_MS;
         if (this.clock.now() - this.heardAt > limitMs) {
             this.log.write(WireEvent.HeartbeatLost, { peer: this.id, state: this.state });
@@ -65,8 +71,17 @@
             return;
         }
         if (this.isAttached) {
-            this.channel.send({ kind: "heartbeat", ...this.heartbeat() });
+            this.beat();
         }
         this.schedule();
     }
+
+    /** Any message is a sign of life; a heartbeat fills the silence and tells a new revision. */
+    private beat(): void {
+        const { load, revision } = this.heartbeat();
+        if (this.clock.now() - this.channel.sentAt >= HEARTBEAT_MS || revision !== this.toldRevision) {
+            this.toldRevision = revision;
+            this.channel.send({ kind: "heartbeat", load, revision });
+        }
+    }
 }
--- a/src/agent/Attachments.ts
+++ b/src/agent/Attachments.ts
@@ -6,11 +6,13 @@
 import { AgentEvent } from "./AgentEvent.js";
 import { Attachment } from "./Attachment.js";
 import { awaitAttached } from "./awaitAttached.js";
+import { awaitMembers } from "./awaitMembers.js";
 import type { ConfigurationCopy } from "./ConfigurationCopy.js";
 import type { EndpointDeclaration } from "./EndpointDeclaration.js";
 import { EntryDirectory } from "./EntryDirectory.js";
 import type { Slots } from "./Slots.js";
 import type { Tasks } from "./Tasks.js";
+import { TimedChannel } from "./TimedChannel.js";
 
 const MAX_CONNECTIONS = 3;
 
@@ -23,9 +25,6 @@
 /** An attachment that lasts this long, in milliseconds, ends the entry's run of failures. */
 const STABLE_MS = 10_000;
 
-/** Time that a seed has to send member rows, in milliseconds; after that the seed itself is used as an entry. */
-const MEMBERS_WAIT_MS = 1000;
-
 interface Setting {
     readonly agentId: string;
     readonly region: string;
@@ -194,34 +193,18 @@
         }
         this.directory.succeeded(seed);
         const { channel } = attachment;
-        await this.awaitMembers(channel);
+        await awaitMembers(channel, this.runtime.clock);
         if (!this.directory.knowsAny) {
             this.directory.add({ ...channel.peer });
         }
     }
 
-    private awaitMembers(channel: Channel): Promise<void> {
-        return new Promise(resolve => {
-            const cancel = this.runtime.clock.schedule(MEMBERS_WAIT_MS, resolve);
-            const finish = () => {
-                cancel();
-                resolve();
-            };
-            channel.onClose(finish);
-            channel.onMessage(message => {
-                if (message.kind === "members") {
-                    finish();
-                }
-            });
-        });
-    }
-
     private async open(address: string, id: string): Promise<Attachment | undefined> {
         const { clock, log } = this.runtime;
         this.makeRoom();
-        let channel: Channel;
+        let channel: TimedChannel;
         try {
-            channel = await this.connect(address);
+            channel = new TimedChannel(await this.connect(address), clock);
         }
         catch (error) {
             this.directory.failed(id);
--- a/src/entry/controllers/AgentSession.ts
+++ b/src/entry/controllers/AgentSession.ts
@@ -1,5 +1,7 @@
+import type { Clock } from "../../common/Clock.js";
 import type { Channel } from "../../common/wire/Channel.js";
 import type { Identity } from "../../common/wire/Identity.js";
+import type { Message } from "../../common/wire/Message.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import type { AgentProfile } from "../policy/AgentProfile.js";
 
@@ -8,16 +10,22 @@
     public readonly peer: Identity;
     public readonly service: string;
     public readonly profile: AgentProfile;
+    /** Time of the last message from the agent. */
+    public heardAt: number;
     public draining = false;
     /** Configuration revision of the last heartbeat; 0 for none. */
     public revision = 0;
+    /** Time of the last message that told the agent how many tasks wait. */
+    private toldAt: number;
+    private toldRevision = 0;
 
     constructor(
         public readonly channel: Channel,
         attach: MessageOf<"attach">,
-        /** Time of the last message from the agent. */
-        public heardAt: number,
+        private readonly clock: Clock,
     ) {
+        this.heardAt = clock.now();
+        this.toldAt = this.heardAt;
         this.peer = channel.peer;
         this.service = attach.service;
         this.profile = {
@@ -28,4 +36,21 @@
             slots: attach.slots,
         };
     }
+
+    public send(message: Message): boolean {
+        if (message.kind === "start") {
+            this.toldAt = this.clock.now();
+        }
+        return this.channel.send(message);
+    }
+
+    /** Sends a heartbeat unless a `start` told the load within `intervalMs` and the revision is known to the agent. */
+    public beat(load: number, revision: number, intervalMs: number): void {
+        if (this.clock.now() - this.toldAt < intervalMs && revision === this.toldRevision) {
+            return;
+        }
+        this.toldAt = this.clock.now();
+        this.toldRevision = revision;
+        this.channel.send({ kind: "heartbeat", load, revision });
+    }
 }
--- a/src/entry/controllers/Agents.test.ts
+++ b/src/entry/controllers/Agents.test.ts
@@ -47,11 +47,13 @@
     let clock: VirtualClock;
     let agents: Agents;
     let kinds: string[];
+    let revision: number;
     let dial: () => Promise<Channel>;
 
     beforeEach(() => {
         clock = new VirtualClock();
         kinds = [];
+        revision = 1;
         dial = () => Promise.reject(new Fault("protocol", "connect timed out"));
         agents = new Agents({
             clock,
@@ -59,7 +61,7 @@
             members: { live: () => [], home: () => undefined, onChange: new Emitter<void>().event },
             dial: () => dial(),
             queued: () => 3,
-            revision: () => 1,
+            revision: () => revision,
         });
         agents.onEvent(event => kinds.push(event.kind));
     });
@@ -94,6 +96,25 @@
         assert.equal(channel.open, true);
     });
 
+    it("guards against heartbeats beside starts, and against silence or an untold revision without them", () => {
+        const channel = attach();
+        const beats = () => channel.sent.filter(message => message.kind === "heartbeat").length;
+        clock.advance(250);
+        const told = beats();
+        const start = { kind: "start", issuer: "e", sequence: 1, task: 0, attempt: 1, payload: 0 } as const;
+        for (let step = 0; step < 20; step++) {
+            agents.send("i1", { ...start, budgetMs: 1, repeatable: false, queued: 0 });
+            channel.messages.fire({ kind: "credit", count: 1 });
+            clock.advance(500);
+        }
+        assert.equal(beats(), told);
+        revision = 2;
+        clock.advance(250);
+        assert.equal(beats(), told + 1);
+        clock.advance(1250);
+        assert.equal(beats(), told + 2);
+    });
+
     it("guards against declaring an agent lost that is only unreachable", async () => {
         attach().close("cut");
         await advance(0);
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -18,7 +18,12 @@
 import type { Dialer } from "./Dialer.js";
 import { isRefused } from "./isRefused.js";
 
+/** Longest time without a message that tells the load, give or take one look. */
 const HEARTBEAT_MS = 1000;
+
+/** Time between two looks at the attached agents. */
+const LOOK_MS = 250;
+
 const MISSED_HEARTBEATS = 3;
 const PROBE_INTERVAL_MS = 1000;
 
@@ -68,7 +73,7 @@
     }
 
     public send(agent: string, message: Message): boolean {
-        return this.sessions.get(agent)?.channel.send(message) ?? false;
+        return this.sessions.get(agent)?.send(message) ?? false;
     }
 
     public mayRun(agent: string): boolean {
@@ -88,7 +93,7 @@
         return [...this.sessions.values()].map(session => ({
             id: session.peer.id,
             revision: session.revision,
-            send: message => session.channel.send(message),
+            send: message => session.send(message),
         }));
     }
 
@@ -192,7 +197,7 @@
         }
         older?.channel.close("replaced by a newer attachment");
         this.stopProbe(incarnation);
-        const session = new AgentSession(channel, message, this.parts.clock.now());
+        const session = new AgentSession(channel, message, this.parts.clock);
         this.sessions.set(incarnation, session);
         this.parts.log.write(EntryEvent.AgentAttached, { agent: channel.peer.id, service: message.service });
         channel.send({ kind: "attached", accepted: true });
@@ -258,7 +263,7 @@
     }
 
     private scheduleHeartbeat(): void {
-        this.cancelHeartbeat = this.parts.clock.schedule(HEARTBEAT_MS, () => {
+        this.cancelHeartbeat = this.parts.clock.schedule(LOOK_MS, () => {
             this.scheduleHeartbeat();
             this.beat();
         });
@@ -273,7 +278,7 @@
                 session.channel.dispose();
                 continue;
             }
-            session.channel.send({ kind: "heartbeat", load: this.parts.queued(session.service), revision });
+            session.beat(this.parts.queued(session.service), revision, HEARTBEAT_MS);
         }
     }
 }
