Gossip beats instead of rows, and keep the head row small

Cause: each gossip message held up to 32 rows of 200 bytes, and the head row named every team, about 20 KB with 640 teams, which two pollers read each second and each change wrote, with a row of 1,024 token ids. Change: gossip sends the own row and 13-byte beats of the others; rows travel only to entries that lack them. The head names the latest 32 changes, and readers further behind list the sections. The head row's revision names the token row, so a later change overwrites it and no list of tokens is kept; a lost token is told from one that was never written. An invalid section makes a reader read again after 10 s, not each second. Tests: at most 3,000 bytes a second; head of 640 teams at most 1,500 bytes.

--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -128,6 +128,10 @@
 interface Members {
     readonly kind: "members";
     readonly rows: readonly Member[];
+    /** Members whose rows the receiver may know, as triples: tag, counter, and twice the revision plus 1 when draining. */
+    readonly beats?: readonly number[] | undefined;
+    /** Tags from `beats` of the message that this one answers, whose rows the sender lacks. */
+    readonly unknown?: readonly number[] | undefined;
 }
 
 /** Either side: asks for the configuration sections that were changed after document revision `since`. */
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -85,7 +85,7 @@
     fenced: { issuer: isString },
     heartbeat: { load: isCount, revision: isCount },
     drain: { reason: isString },
-    members: { rows: listOf(MEMBER) },
+    members: { rows: listOf(MEMBER), beats: optional(listOf(isCount)), unknown: optional(listOf(isCount)) },
     pull: { since: isCount },
     configuration: {
         revision: isCount,
--- a/src/entry/configuration/ConfigurationRows.ts
+++ b/src/entry/configuration/ConfigurationRows.ts
@@ -6,13 +6,15 @@
 import type { WriteToken } from "./WriteToken.js";
 
 const HEAD_KEY = "config/head";
-const TOKENS_KEY = "config/tokens";
 const SECTION_PREFIX = "config/";
 const TOKEN_PREFIX = "config/token/";
 
-/** Write tokens that stay readable; each change deletes the token row that is this many changes old. */
+/** Write tokens that stay readable; a change overwrites the token row of the change this many head rows before it. */
 const KEPT_TOKENS = 1024;
 
+/** Changes named in the head row, about 30 bytes each. A reader that is further behind lists all sections. */
+const RECENT_CHANGES = 32;
+
 /** Earlier versions of a section kept in its row. */
 const KEPT_VERSIONS = 4;
 
@@ -30,41 +32,39 @@
     readonly team: string;
     readonly head: Versioned<HeadValue>;
     readonly section: Versioned<SectionValue>;
-    /** Ids of the kept write tokens, oldest first. */
-    readonly tokens: readonly string[];
 }
 
-/** Rows of the configuration in the table service: `config/head`, `config/<team>` and `config/token/<token>`. */
+/** Value of a token row: the change that was applied on head row `headRow`. */
+interface TokenValue {
+    readonly id: string;
+    readonly headRow: number;
+    readonly team: string;
+    readonly revision: number;
+}
+
+/** Rows of the configuration in the table service: `config/head`, `config/<team>` and `config/token/<slot>`. */
 export class ConfigurationRows {
     constructor(private readonly table: Table) {}
 
     public async readHead(): Promise<Versioned<HeadValue>> {
-        return versioned(await this.table.read(HEAD_KEY), { revision: 0, sections: {} });
+        return versioned(await this.table.read(HEAD_KEY), { revision: 0, recent: [] });
     }
 
     /** Reads what a change of a section is conditioned on, head first: a later change moves the head. */
     public async readForChange(team: string): Promise<ChangeBase> {
         const head = await this.readHead();
-        const [section, tokens] = await Promise.all([
-            this.table.read(SECTION_PREFIX + team),
-            this.table.read(TOKENS_KEY),
-        ]);
-        return {
-            team,
-            head,
-            section: versioned(section, { revision: 0, previous: [] }),
-            tokens: versioned(tokens, { ids: [] as readonly string[] }).value.ids,
-        };
+        const section = await this.table.read(SECTION_PREFIX + team);
+        return { team, head, section: versioned(section, { revision: 0, previous: [] }) };
     }
 
-    /** Reads the sections of `teams`. */
-    public async readSections(teams: readonly string[]): Promise<readonly StoredSection[]> {
-        if (teams.length >= LIST_FROM) {
-            const keys = new Set(teams.map(team => SECTION_PREFIX + team));
-            const rows = await this.table.list(SECTION_PREFIX);
-            return rows.filter(row => keys.has(row.key)).map(row => toStored(row));
+    /** Reads the sections that changed after document revision `since`, also deleted ones. */
+    public async readChanges(head: HeadValue, since: number): Promise<readonly StoredSection[]> {
+        const changes = head.recent.filter(({ revision }) => revision > since);
+        const teams = new Set(changes.map(({ team }) => team));
+        if (changes.length < head.revision - since || teams.size >= LIST_FROM) {
+            return this.listSections();
         }
-        const rows = await Promise.all(teams.map(team => this.table.read(SECTION_PREFIX + team)));
+        const rows = await Promise.all([...teams].map(team => this.table.read(SECTION_PREFIX + team)));
         return rows.flatMap(row => row === undefined ? [] : [toStored(row)]);
     }
 
@@ -72,10 +72,10 @@
      * Writes or deletes a section in one transaction. Returns false when the section or the head has changed since they
      * were read.
      */
-    public write({ team, head, section, tokens }: ChangeBase, body: unknown, token: WriteToken): Promise<boolean> {
-        const ids = [...tokens, token.id];
-        const dropped = ids.slice(0, Math.max(0, ids.length - KEPT_TOKENS));
+    public write({ team, head, section }: ChangeBase, body: unknown, token: WriteToken): Promise<boolean> {
         const revision = head.value.revision + 1;
+        const recent = [...head.value.recent, { team, revision }].slice(-RECENT_CHANGES);
+        const { id, headRow } = token;
         return this.table.transact({
             conditions: [
                 { key: HEAD_KEY, revision: head.row },
@@ -83,23 +83,22 @@
             ],
             writes: [
                 { key: SECTION_PREFIX + team, value: nextVersion(section.value, revision, body) },
-                { key: HEAD_KEY, value: { revision, sections: { ...head.value.sections, [team]: revision } } },
-                { key: TOKEN_PREFIX + token.id, value: { team, revision } },
-                { key: TOKENS_KEY, value: { ids: ids.slice(-KEPT_TOKENS) } },
-                ...dropped.map(id => ({ key: TOKEN_PREFIX + id, value: undefined })),
+                { key: HEAD_KEY, value: { revision, recent } satisfies HeadValue },
+                { key: tokenKey(headRow), value: { id, headRow, team, revision } satisfies TokenValue },
             ],
         });
     }
 
-    /** Document revision that the write with this token produced; undefined when its row does not exist. */
-    public async readToken(token: WriteToken): Promise<number | undefined> {
-        const row = await this.table.read(TOKEN_PREFIX + token.id);
-        return (row?.value as { readonly revision: number; } | undefined)?.revision;
-    }
-
-    /** True when the token's row may have been deleted because of its age. */
-    public isForgotten(token: WriteToken, head: Versioned<HeadValue>): boolean {
-        return head.row - token.headRow > KEPT_TOKENS;
+    /**
+     * Document revision that the write with this token produced. `undefined` when it has not been applied, and
+     * "forgotten" when a later write took its row.
+     */
+    public async readToken({ id, headRow }: WriteToken): Promise<number | "forgotten" | undefined> {
+        const value = (await this.table.read(tokenKey(headRow)))?.value as TokenValue | undefined;
+        if (value?.id === id) {
+            return value.revision;
+        }
+        return value !== undefined && value.headRow > headRow ? "forgotten" : undefined;
     }
 
     /**
@@ -112,6 +111,16 @@
             writes: [{ key: HEAD_KEY, value: head.value }],
         });
     }
+
+    private async listSections(): Promise<readonly StoredSection[]> {
+        const rows = await this.table.list(SECTION_PREFIX);
+        return rows.filter(({ key }) => key !== HEAD_KEY && !key.startsWith(TOKEN_PREFIX)).map(row => toStored(row));
+    }
+}
+
+/** One change at most is applied on each revision of the head row, so the revision names the token row. */
+function tokenKey(headRow: number): string {
+    return `${TOKEN_PREFIX}${headRow % KEPT_TOKENS}`;
 }
 
 function versioned<T>(row: Row | undefined, absent: T): Versioned<T> {
--- a/src/entry/configuration/ConfigurationWriter.test.ts
+++ b/src/entry/configuration/ConfigurationWriter.test.ts
@@ -202,6 +202,42 @@
         assert.equal((await settle(rows, first)).kind, "forgotten");
     });
 
+    it("guards against a head row that grows with the teams, and against changes that it no longer names", async () => {
+        const table = new MemoryTable();
+        const { writer } = new Desk(table);
+        const late = new Desk(table);
+        for (let team = 0; team < 640; team++) {
+            await writer.put(`team-${team}`, 0, { team: `team-${team}` });
+            if (team === 99) {
+                await late.head.synchronise();
+                assert.equal(late.store.teams().length, 100);
+            }
+        }
+        await writer.delete("team-5", 6);
+        assert.ok(JSON.stringify(table.rows.read("config/head")).length <= 1500);
+        await late.head.synchronise();
+        assert.equal(late.store.revision, 641);
+        assert.equal(late.store.teams().length, 639);
+        assert.equal(late.store.team("team-5"), undefined);
+    });
+
+    it("guards against reading every section each second because one of them is invalid", async () => {
+        const table = new MemoryTable();
+        const desk = new Desk(table);
+        const base = await desk.rows.readForChange("a");
+        await desk.rows.write(base, { team: "a", unknown: 1 }, WriteToken.create(base.head.row));
+        await desk.writer.put("b", 0, { team: "b" });
+        let reads = 0;
+        const read = table.read.bind(table);
+        table.read = key => {
+            reads += 1;
+            return read(key);
+        };
+        await desk.head.synchronise();
+        await desk.head.synchronise();
+        assert.equal(reads, 2);
+    });
+
     it("guards against a lost write that takes effect after it was settled as not applied", async () => {
         const table = new MemoryTable();
         const { rows } = new Desk(table);
--- a/src/entry/configuration/HeadReader.ts
+++ b/src/entry/configuration/HeadReader.ts
@@ -4,6 +4,9 @@
 import { StateEvent } from "../StateEvent.js";
 import type { ConfigurationRows } from "./ConfigurationRows.js";
 
+/** An invalid section keeps the revision back; the changes are read again after this time while the head is the same. */
+const READ_AGAIN_MS = 10_000;
+
 /** Reads the head row and the sections that changed into the configuration of this process. */
 export class HeadReader {
     private polling: Promise<void> | undefined;
@@ -11,6 +14,8 @@
     private readAt: number | undefined;
     private attemptedAt = 0;
     private stored: number | undefined;
+    /** Document revision up to which all changes were read, although one was invalid, and the time of that. */
+    private incomplete: { readonly revision: number; readonly at: number; } | undefined;
 
     constructor(
         private readonly rows: ConfigurationRows,
@@ -51,14 +56,14 @@
             this.log.write(StateEvent.StoreBehind, { stored: value.revision, revision: this.store.revision });
             return;
         }
-        if (value.revision === this.store.revision) {
+        if (value.revision === this.store.revision || this.isIncomplete(value.revision)) {
             return;
         }
-        const teams = Object.keys(value.sections)
-            .filter(team => (value.sections[team] ?? 0) > this.store.sectionRevision(team));
-        const sections = await this.rows.readSections(teams);
+        const sections = await this.rows.readChanges(value, this.store.revision);
         const before = this.store.revision;
-        for (const team of this.store.adopt(value.revision, sections)) {
+        const invalid = this.store.adopt(value.revision, sections);
+        this.incomplete = invalid.length === 0 ? undefined : { revision: value.revision, at: this.clock.now() };
+        for (const team of invalid) {
             this.log.write(StateEvent.SectionInvalid, { team, sender: "store" });
         }
         if (this.store.revision > before) {
@@ -66,6 +71,11 @@
         }
     }
 
+    private isIncomplete(revision: number): boolean {
+        const { incomplete } = this;
+        return incomplete?.revision === revision && this.clock.now() - incomplete.at < READ_AGAIN_MS;
+    }
+
     private async attempt(): Promise<void> {
         this.attemptedAt = this.clock.now();
         try {
--- a/src/entry/configuration/HeadValue.ts
+++ b/src/entry/configuration/HeadValue.ts
@@ -1,6 +1,6 @@
-/** Value of the row `config/head`. */
+/** Value of the row `config/head`. Its size does not grow with the number of teams. */
 export interface HeadValue {
     readonly revision: number;
-    /** Document revision of the last change of each team's section, including deleted ones. */
-    readonly sections: Readonly<Record<string, number>>;
+    /** The latest changes, oldest first: one for each document revision up to `revision`, also of deleted sections. */
+    readonly recent: readonly { readonly team: string; readonly revision: number; }[];
 }
--- a/src/entry/configuration/settle.ts
+++ b/src/entry/configuration/settle.ts
@@ -16,12 +16,12 @@
     for (let round = 0; round < MAX_ROUNDS; round++) {
         const head = await rows.readHead();
         const revision = await rows.readToken(token);
+        if (revision === "forgotten") {
+            return { kind: "forgotten" };
+        }
         if (revision !== undefined) {
             return { kind: "applied", revision };
         }
-        if (rows.isForgotten(token, head)) {
-            return { kind: "forgotten" };
-        }
         if (head.row > token.headRow) {
             return { kind: "not_applied" };
         }
--- a/src/entry/controllers/Membership.test.ts
+++ b/src/entry/controllers/Membership.test.ts
@@ -6,6 +6,7 @@
 import { SeededRandom } from "../../common/SeededRandom.js";
 import type { Table } from "../../common/table/Table.js";
 import { VirtualClock } from "../../common/VirtualClock.js";
+import { FrameCodec } from "../../common/wire/FrameCodec.js";
 import type { Message } from "../../common/wire/Message.js";
 import { MemoryTable } from "../../test/MemoryTable.js";
 import { EntryIdentity } from "../EntryIdentity.js";
@@ -24,6 +25,7 @@
     /** Largest number of rows seen in one message. */
     public maxRows = 0;
     public messages = 0;
+    public bytes = 0;
 
     public add(id: string, seeds: readonly string[], table: Table | undefined, seed: number): Node {
         const node = new Node(this, id, seeds, table, seed);
@@ -37,6 +39,7 @@
             return false;
         }
         this.messages += 1;
+        this.bytes += FrameCodec.encode(message).length;
         this.maxRows = Math.max(this.maxRows, message.kind === "members" ? message.rows.length : 0);
         const reply = (answer: Message) => this.deliver(to, from.address, answer as PeerMessage["message"]);
         to.received.fire({ message, peer: from.identity.current, reply });
@@ -126,6 +129,16 @@
             );
         });
 
+        it("guards against gossip of more than 3 KB a second and entry, sent and received, among 30 entries", async () => {
+            const network = build(30, undefined, ["e0:1"]);
+            await network.run(20_000);
+            network.bytes = 0;
+            await network.run(20_000);
+            assert.deepEqual(network.views(), network.views().map(() => idsOf(30)));
+            const bytesPerEntry = network.bytes * 2 / 30 / 20;
+            assert.ok(bytesPerEntry <= 3000, `${bytesPerEntry} bytes per second`);
+        });
+
         it("finds every entry from lease rows alone", async () => {
             const network = build(5, new MemoryTable(), []);
             await network.run(25_000);
--- a/src/entry/controllers/Membership.ts
+++ b/src/entry/controllers/Membership.ts
@@ -9,9 +9,11 @@
 import type { Member } from "../../common/wire/Member.js";
 import type { EntryIdentity } from "../EntryIdentity.js";
 import type { MemberRows } from "../MemberRows.js";
+import { Exchange } from "../membership/Exchange.js";
 import { Leases } from "../membership/Leases.js";
 import type { MemberChange } from "../membership/MemberChange.js";
 import { MemberTable } from "../membership/MemberTable.js";
+import { memberTag } from "../membership/memberTag.js";
 import type { PeerMessage } from "../PeerMessage.js";
 import type { PeerMessages } from "../PeerMessages.js";
 import { StateEvent } from "../StateEvent.js";
@@ -22,9 +24,6 @@
 /** Every so many gossip rounds, an address that is not a live member is tried too, to join separated groups. */
 const INTRODUCE_EVERY_ROUNDS = 5;
 
-/** Rows in one message, about 200 bytes each. */
-const MAX_ROWS_PER_MESSAGE = 32;
-
 const CHANGE_EVENTS = {
     joined: StateEvent.MemberJoined,
     replaced: StateEvent.MemberReplaced,
@@ -51,6 +50,7 @@
     private readonly changes = new Emitter<void>();
     private readonly registrations = new DisposableStore();
     private readonly table = new MemberTable();
+    private readonly exchange: Exchange;
     private readonly leases: Leases | undefined;
     private introductions: ReadonlySet<string>;
     private counter = 1;
@@ -61,7 +61,8 @@
     public readonly onChange = this.changes.event;
 
     constructor(private readonly options: MembershipOptions) {
-        const { table, identity, clock, log } = options;
+        const { table, identity, clock, random, log } = options;
+        this.exchange = new Exchange(this.table, random);
         this.leases = table === undefined ? undefined : new Leases(table, identity.current.region, clock, log);
         this.introductions = new Set(options.seeds);
     }
@@ -185,46 +186,23 @@
     }
 
     private sendRows(address: string): void {
-        void this.options.peers.send(address, { kind: "members", rows: this.selectRows(this.table.live()) });
-    }
-
-    /** This entry's row and a random choice of `others`, up to the size of one message. */
-    private selectRows(others: readonly Member[]): readonly Member[] {
-        const pool = [...others];
-        const rows = [this.self()];
-        while (pool.length > 0 && rows.length < MAX_ROWS_PER_MESSAGE) {
-            rows.push(...pool.splice(Math.floor(this.options.random.next() * pool.length), 1));
-        }
-        return rows;
+        void this.options.peers.send(address, this.exchange.begin(this.self()));
     }
 
-    /**
-     * Merges received rows. A message with the sender's own row begins an exchange and is answered with what the sender
-     * lacks; the answer leaves out the own row, so an exchange ends there.
-     */
+    /** Merges what a peer sent and answers with what it lacks. */
     private receive({ message, peer, reply }: PeerMessage): void {
         if (message.kind !== "members" || this.disposed) {
             return;
         }
-        const rows = message.rows.slice(0, MAX_ROWS_PER_MESSAGE);
-        this.mergeAll(rows);
-        const newer = this.newerThan(rows);
-        if (newer.length > 0 && rows.some(row => row.id === peer.id)) {
-            reply({ kind: "members", rows: newer });
+        const beats = this.exchange.read(message);
+        const own = memberTag(this.self());
+        this.mergeAll([...this.exchange.rowsOf(message), ...beats.rows]);
+        const answer = this.exchange.answer(message, peer.id, beats.unknown.filter(tag => tag !== own));
+        if (answer !== undefined) {
+            reply(answer);
         }
     }
 
-    /** Rows of other entries that are missing from `received` or older there. */
-    private newerThan(received: readonly Member[]): readonly Member[] {
-        const sent = new Map(received.map(row => [row.id, row]));
-        return this.table.live()
-            .filter(row => {
-                const other = sent.get(row.id);
-                return other === undefined || this.table.isBehind(other);
-            })
-            .slice(0, MAX_ROWS_PER_MESSAGE);
-    }
-
     private mergeAll(rows: readonly Member[]): void {
         let changed = false;
         for (const row of rows) {
--- a/src/entry/membership/MemberTable.ts
+++ b/src/entry/membership/MemberTable.ts
@@ -1,5 +1,6 @@
 import type { Member } from "../../common/wire/Member.js";
 import type { MemberChange } from "./MemberChange.js";
+import { memberTag } from "./memberTag.js";
 
 /** A member is live while its counter has advanced within this time. */
 const LIVE_MS = 5000;
@@ -20,6 +21,8 @@
 /** Rows of the other entries of one region: higher counters win, and rows that stop advancing are dead. */
 export class MemberTable {
     private readonly known = new Map<string, Known>();
+    /** Rows of `known` by the tag of their incarnation. */
+    private readonly incarnations = new Map<number, Member>();
 
     /** Takes a row if it is newer than the one known; returns what changed for readers of the view. */
     public merge(row: Member, now: number): MemberChange | undefined {
@@ -32,7 +35,11 @@
         else if (!isNewer(row, before.row)) {
             return undefined;
         }
+        if (before !== undefined) {
+            this.incarnations.delete(memberTag(before.row));
+        }
         this.known.set(row.id, { row, advancedAt: now, live: true });
+        this.incarnations.set(memberTag(row), row);
         return changeBetween(before, row);
     }
 
@@ -42,6 +49,7 @@
         for (const [id, { row, advancedAt, live }] of this.known) {
             if (now - advancedAt > REMEMBER_MS) {
                 this.known.delete(id);
+                this.incarnations.delete(memberTag(row));
             }
             else if (live && now - advancedAt > LIVE_MS) {
                 this.known.set(id, { row, advancedAt, live: false });
@@ -55,10 +63,9 @@
         return [...this.known.values()].filter(({ live }) => live).map(({ row }) => row);
     }
 
-    /** True when this table has a newer row for the id of `row`. */
-    public isBehind(row: Member): boolean {
-        const known = this.known.get(row.id);
-        return known?.live === true && isNewer(known.row, row);
+    /** The row of the incarnation with this tag, also of a dead one. */
+    public find(tag: number): Member | undefined {
+        return this.incarnations.get(tag);
     }
 }
 
