--- a/src/entry/policy/Fastest.ts
+++ b/src/entry/policy/Fastest.ts
@@ -7,7 +7,7 @@
 /** Speeds closer than this count as equal, so that noise in the estimates does not defeat spreading. */
 const SPEED_STEPS_PER_OCTAVE = 8;
 /** Part of the reserved slots that medium tasks leave free as well. */
-const MEDIUM_SHARE_OF_RESERVE = 0.25;
+const MEDIUM_SHARE_OF_RESERVE = 0.5;
 
 /** Fastest free agent; at equal speed the least used failure domain, then rack, then agent. */
 export class Fastest implements Placement {
--- a/src/entry/policy/trial/main.ts
+++ b/src/entry/policy/trial/main.ts
@@ -104,7 +104,9 @@
 
 function print(fields: Record<string, string | number>): void {
     const text = Object.entries(fields).map(([name, value]) => {
-        return `${name}=${typeof value === "number" ? value.toFixed(Math.abs(value) < 20 ? 3 : 0) : value}`;
+        return `${name}=${
+            typeof value === "string" || Number.isInteger(value) ? value : value.toFixed(Math.abs(value) < 20 ? 3 : 0)
+        }`;
     });
     process.stdout.write(`${text.join(" ")}\n`);
 }
