--- /dev/null
+++ b/src/cli/describeError.ts
@@ -0,0 +1,9 @@
+import type { EntryError } from "./EntryError.js";
+
+/** Text for people about a failed request, with one more line for each fault of a malformed body. */
+export function describeError(error: EntryError): string {
+    const place = error.path === undefined ? "" : ` at ${error.path}`;
+    const retry = error.retryAfterMs === undefined ? "" : `, retry after ${error.retryAfterMs} ms`;
+    const faults = (error.faults ?? []).map(fault => `\n  ${fault.path}: ${fault.message}`).join("");
+    return `${error.code}${place}: ${error.message} (verdict ${error.verdict}${retry})${faults}`;
+}
--- /dev/null
+++ b/src/entry/Entry.ts
@@ -0,0 +1,256 @@
+import { Emitter } from "../common/Emitter.js";
+import type { RunningRole } from "../common/RunningRole.js";
+import type { Runtime } from "../common/Runtime.js";
+import type { EntrySettings } from "../common/settings/EntrySettings.js";
+import { TicketCodec } from "../common/ticket/TicketCodec.js";
+import type { Channel } from "../common/wire/Channel.js";
+import { dial } from "../common/wire/dial.js";
+import type { Identity } from "../common/wire/Identity.js";
+import { Listener } from "../common/wire/Listener.js";
+import { Role } from "../common/wire/Role.js";
+import { assembleState, type EntryState } from "./assembleState.js";
+import { Agents } from "./controllers/Agents.js";
+import { Jobs } from "./controllers/Jobs.js";
+import { Relay } from "./controllers/Relay.js";
+import { Settlement } from "./controllers/Settlement.js";
+import { Stories } from "./controllers/Stories.js";
+import { Tickets } from "./controllers/Tickets.js";
+import { EntryEvent } from "./EntryEvent.js";
+import { EntryIdentity } from "./EntryIdentity.js";
+import { TokenIndex } from "./filters/TokenIndex.js";
+import { HttpServer } from "./HttpServer.js";
+import { OwnedClock } from "./OwnedClock.js";
+import { createScheduler } from "./policy/createScheduler.js";
+import { createApp } from "./routes/createApp.js";
+import { jobRoutes } from "./routes/jobRoutes.js";
+import { operatorRoutes } from "./routes/operatorRoutes.js";
+import { ticketRoutes } from "./routes/ticketRoutes.js";
+
+/** How often a drain looks whether its jobs have ended. */
+const DRAIN_POLL_MS = 20;
+
+interface Sockets {
+    readonly listener: Listener;
+    readonly http: HttpServer;
+}
+
+/** Entry process: takes jobs from callers and places their tasks on agents. */
+export class Entry implements RunningRole {
+    private readonly state: EntryState;
+    private readonly tokens: TokenIndex;
+    private readonly stories: Stories;
+    private readonly agents: Agents;
+    private readonly tickets: Tickets;
+    private readonly settlement: Settlement;
+    private readonly jobs: Jobs;
+    private readonly relay: Relay;
+    private sockets: Sockets | undefined;
+    private draining = false;
+    private drained: Promise<readonly string[]> | undefined;
+    private readonly drains = new Emitter<readonly string[]>();
+
+    /** Fires once the entry has left, also after a drain that was asked for over HTTP; with what was left. */
+    public readonly onDrained = this.drains.event;
+
+    private readonly runtime: Runtime;
+    private readonly clock: OwnedClock;
+
+    private constructor(
+        private readonly settings: EntrySettings,
+        outerRuntime: Runtime,
+        private readonly ownIdentity: EntryIdentity,
+    ) {
+        this.clock = new OwnedClock(outerRuntime.clock);
+        const runtime = { ...outerRuntime, clock: this.clock };
+        this.runtime = runtime;
+        const { clock, log, random, metrics } = runtime;
+        this.tokens = new TokenIndex(settings.tokens);
+        const attachedAgents = { attached: () => this.agents.all() };
+        this.state = assembleState(settings, runtime, ownIdentity, attachedAgents, this.tokens);
+        const { peers, members, configuration } = this.state;
+        const dialer = (address: string) => dial(address, ownIdentity.current, settings.secret, log, metrics);
+        const codec = new TicketCodec(settings.secret);
+        this.stories = new Stories(settings.id, log);
+        this.settlement = new Settlement({ clock, dial: dialer, stories: this.stories });
+        this.agents = new Agents({
+            clock,
+            log,
+            members,
+            dial: dialer,
+            queued: service => this.jobs.queued(service),
+            revision: () => configuration.revision,
+        });
+        this.tickets = new Tickets({
+            clock,
+            log,
+            random,
+            identity: ownIdentity,
+            members,
+            peers,
+            configuration,
+            codec,
+            attached: service => this.agents.attached(service),
+        });
+        this.jobs = new Jobs({
+            clock,
+            identity: ownIdentity,
+            configuration,
+            agents: this.agents,
+            tickets: this.tickets,
+            stories: this.stories,
+            gather: ticket => this.settlement.gather(ticket),
+            createScheduler: () => createScheduler(settings.scheduler, random),
+        });
+        const { jobs, settlement, stories } = this;
+        this.relay = new Relay({ clock, identity: ownIdentity, peers, codec, jobs, settlement, stories });
+        this.watchFences();
+    }
+
+    public static async start(settings: EntrySettings, runtime: Runtime): Promise<Entry> {
+        const own: { identity?: EntryIdentity; } = {};
+        const listener = await Listener.listen({
+            ...settings.listen,
+            maxConnections: settings.maxConnections,
+            identity: () => {
+                if (own.identity === undefined) {
+                    throw new Error("the entry is still starting");
+                }
+                return own.identity.current;
+            },
+            secret: settings.secret,
+            log: runtime.log,
+            metrics: runtime.metrics,
+        });
+        const address = settings.advertise ?? `${settings.listen.host}:${listener.port}`;
+        const { id, region, failureDomain } = settings;
+        own.identity = new EntryIdentity({ id, region, failureDomain, address });
+        const entry = new Entry(settings, runtime, own.identity);
+        await entry.open(listener);
+        return entry;
+    }
+
+    public get httpPort(): number {
+        return this.sockets?.http.port ?? 0;
+    }
+
+    public get wirePort(): number {
+        return this.sockets?.listener.port ?? 0;
+    }
+
+    public get identity(): Identity {
+        return this.ownIdentity.current;
+    }
+
+    /**
+     * Refuses new work, waits for the open jobs, closes the listeners, and reports what was left. A drain that runs
+     * already keeps its own limit.
+     */
+    public drain(limitMs: number): Promise<readonly string[]> {
+        this.drained ??= this.leave(limitMs);
+        return this.drained;
+    }
+
+    public dispose(): Promise<void> {
+        this.sockets?.http.abort();
+        this.agents.dispose();
+        this.jobs.dispose();
+        this.state.dispose();
+        this.sockets?.listener.dispose();
+        this.clock.dispose();
+        return Promise.resolve();
+    }
+
+    private async open(listener: Listener): Promise<void> {
+        listener.onChannel(channel => {
+            this.accept(channel);
+        });
+        const { members, configuration } = this.state;
+        const app = createApp({
+            settings: this.settings,
+            tokens: this.tokens,
+            configurationRoutes: this.state.routes,
+            clock: this.runtime.clock,
+            log: this.runtime.log,
+            draining: () => this.draining,
+            routes: [
+                ticketRoutes(this.tickets),
+                jobRoutes(this.relay),
+                operatorRoutes({
+                    members,
+                    configuration,
+                    agents: this.agents,
+                    queued: service => this.jobs.queued(service),
+                    startDrain: () => {
+                        void this.drain(this.settings.drainLimitMs);
+                    },
+                }),
+            ],
+        });
+        const http = await HttpServer.listen(app, this.settings.http);
+        this.sockets = { listener, http };
+        await this.state.start();
+        this.runtime.log.write(EntryEvent.Started, { http: http.port, wire: listener.port });
+    }
+
+    private accept(channel: Channel): void {
+        this.state.accept(channel);
+        if (channel.peer.role === Role.Agent) {
+            this.agents.accept(channel);
+        }
+    }
+
+    private async leave(limitMs: number): Promise<readonly string[]> {
+        const until = this.clock.now() + limitMs;
+        this.refuseNewWork();
+        while (this.jobs.open > 0 && this.clock.now() < until) {
+            await this.pause();
+        }
+        const left = this.jobs.leftovers();
+        await this.closeHttp(until);
+        this.agents.closeAll("entry is leaving");
+        this.runtime.log.write(EntryEvent.DrainEnded, { left });
+        this.drains.fire(left);
+        return left;
+    }
+
+    /** Lets answers to waiting callers be written. */
+    private async closeHttp(until: number): Promise<void> {
+        const http = { open: true };
+        void this.sockets?.http.close().then(() => {
+            http.open = false;
+        });
+        while (http.open && this.clock.now() < until) {
+            await this.pause();
+            this.sockets?.http.closeIdle();
+        }
+    }
+
+    private refuseNewWork(): void {
+        this.draining = true;
+        this.runtime.log.write(EntryEvent.DrainStarted, { openJobs: this.jobs.open });
+        this.tickets.drain();
+        this.jobs.drain();
+        this.agents.drain();
+        this.state.drain();
+    }
+
+    private watchFences(): void {
+        this.agents.onEvent(event => {
+            if (event.kind === "state") {
+                this.state.changes.receive(event.message, event.agent, event.reply);
+            }
+            if (event.kind === "fenced" && event.issuer === this.ownIdentity.current.incarnation) {
+                this.runtime.log.write(EntryEvent.IssuerFenced, { issuer: event.issuer, agent: event.agent });
+                this.ownIdentity.renew();
+                void this.jobs.settleOpen();
+                this.agents.closeAll("the entry has a new incarnation");
+            }
+        });
+    }
+
+    private pause(): Promise<void> {
+        return new Promise(resolve => {
+            this.runtime.clock.schedule(DRAIN_POLL_MS, resolve);
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/controllers/AgentNotice.ts
@@ -0,0 +1,33 @@
+import type { Message } from "../../common/wire/Message.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { AgentProfile } from "../policy/AgentProfile.js";
+
+/** What happens on the channels of attached agents. `agent` is the agent's incarnation. */
+export type AgentNotice =
+    | { readonly kind: "attached"; readonly service: string; readonly agent: string; readonly profile: AgentProfile; }
+    | { readonly kind: "detached"; readonly service: string; readonly agent: string; }
+    /** The agent's process is certainly gone: its address refuses connections or has another incarnation. */
+    | { readonly kind: "lost"; readonly service: string; readonly agent: string; }
+    | { readonly kind: "credit"; readonly service: string; readonly agent: string; readonly count: number; }
+    | { readonly kind: "reclaim"; readonly service: string; readonly agent: string; readonly count: number; }
+    | { readonly kind: "draining"; readonly service: string; readonly agent: string; }
+    | {
+        readonly kind: "outcome";
+        readonly service: string;
+        readonly agent: string;
+        readonly report: MessageOf<"outcome">;
+    }
+    | {
+        readonly kind: "revoked";
+        readonly service: string;
+        readonly agent: string;
+        readonly report: MessageOf<"revoked">;
+    }
+    | {
+        readonly kind: "state";
+        readonly service: string;
+        readonly agent: string;
+        readonly message: MessageOf<"configuration" | "pull">;
+        readonly reply: (message: Message) => boolean;
+    }
+    | { readonly kind: "fenced"; readonly service: string; readonly agent: string; readonly issuer: string; };
