--- a/src/entry/policy/trial/TrialResult.ts
+++ b/src/entry/policy/trial/TrialResult.ts
@@ -9,6 +9,8 @@
         readonly refused: boolean;
         readonly workMs: number;
         readonly tasks: number;
+        /** Runs of its tasks at the agents. */
+        readonly executions: readonly { readonly task: number; readonly startedAt: number; readonly runMs: number; }[];
     }[];
     /** Wait of each first start. */
     readonly waits: readonly { readonly runMs: number; readonly jobTasks: number; readonly waitMs: number; }[];
--- a/src/entry/policy/trial/simulate.ts
+++ b/src/entry/policy/trial/simulate.ts
@@ -7,8 +7,8 @@
 import type { TrialJob } from "./TrialJob.js";
 import type { TrialResult } from "./TrialResult.js";
 
-/** Time between an outcome at the agent and the next start there. */
-const ROUND_TRIP_MS = 1;
+/** Time that a message takes between entry and agent. */
+const ONE_WAY_MS = 1;
 const RACK_SIZE = 3;
 const FAILURE_DOMAINS = 3;
 
@@ -18,6 +18,7 @@
     failed: boolean;
     refused: boolean;
     endedAt: number | undefined;
+    readonly executions: TrialResult["jobs"][number]["executions"][number][];
 }
 
 /** Runs the jobs in virtual time through the scheduler. The scheduler must be configured. */
@@ -89,7 +90,14 @@
         const scheduled = { job: job.id, team: job.team, deadlineAt, agents: this.agents, tasks };
         const refusal = this.timed(() => this.scheduler.admit(scheduled, this.now));
         const refused = refusal !== undefined;
-        this.progress.set(job.id, { job, left: tasks.length, failed: refused, refused, endedAt: undefined });
+        this.progress.set(job.id, {
+            job,
+            left: tasks.length,
+            failed: refused,
+            refused,
+            endedAt: undefined,
+            executions: [],
+        });
         this.maxQueued = Math.max(this.maxQueued, this.scheduler.queued);
         if (!refused) {
             this.events.set(() => this.expire(), deadlineAt);
@@ -102,6 +110,7 @@
             const progress = this.progress.get(id);
             if (progress !== undefined) {
                 progress.failed = true;
+                this.timed(() => this.scheduler.withdraw(id, undefined, this.now));
             }
         }
     }
@@ -123,7 +132,7 @@
         const usedMs = runMs * (this.cluster.ratios[Number(agent)] ?? 1);
         this.starts += 1;
         this.waits.push({ runMs, jobTasks: job?.tasks.length ?? 0, waitMs: this.now - task.enqueuedAt });
-        this.events.set(() => this.end(assignment, usedMs), this.now + usedMs + ROUND_TRIP_MS);
+        this.events.set(() => this.end(assignment, usedMs), this.now + usedMs + 2 * ONE_WAY_MS);
     }
 
     private end({ task, agent }: Assignment, runMs: number): void {
@@ -136,6 +145,7 @@
         this.service.push({ team: task.team, at: this.now, usedMs: runMs });
         const progress = this.progress.get(job);
         if (progress !== undefined) {
+            progress.executions.push({ task: task.task, startedAt: this.now - runMs - ONE_WAY_MS, runMs });
             progress.left -= 1;
             progress.endedAt = progress.left === 0 ? this.now : undefined;
         }
@@ -149,9 +159,9 @@
     }
 }
 
-function resultOf({ job, failed, refused, endedAt }: Progress): TrialResult["jobs"][number] {
+function resultOf({ job, failed, refused, endedAt, executions }: Progress): TrialResult["jobs"][number] {
     const late = endedAt === undefined || endedAt > job.at + job.deadlineMs;
     const responseMs = failed || late ? undefined : endedAt - job.at;
     const workMs = job.tasks.reduce((sum, task) => sum + task.runMs, 0);
-    return { id: job.id, team: job.team, at: job.at, responseMs, refused, workMs, tasks: job.tasks.length };
+    return { id: job.id, team: job.team, at: job.at, responseMs, refused, workMs, tasks: job.tasks.length, executions };
 }
