Keep short tasks in the short class despite slow agents and near limits

Cause: the correction of declared sizes learnt raw run times, so tasks of 80 to 100 ms that ran on slow agents were expected above 100 ms, counted as medium and waited without access to the reserved slots.

--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -22,6 +22,8 @@
 /** A team that was idle may claim its share of this time. */
 const FAIR_CLAIM_MS = 1500;
 const MIN_WEIGHT = 0.01;
+/** Expected times err by this factor even for right declarations, so that tasks just over a limit keep the class. */
+const CLASS_TOLERANCE = 1.5;
 
 /** Open jobs, and their queued tasks in the order in which they are to start. */
 export class Backlog {
@@ -261,7 +263,7 @@
         job,
         task,
         expectedMs,
-        sizeClass: sizeClassOf(expectedMs),
+        sizeClass: sizeClassOf(expectedMs / CLASS_TOLERANCE),
         phase: TaskPhase.Queued,
         agent: undefined,
         startedAt: 0,
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -208,8 +208,9 @@
         const id = agent.profile.id;
         const attempt = attemptKey(report);
         if (report.verdict === Verdict.Ran && report.ok) {
+            const averageMs = report.runMs / speed.ratio(id);
             speed.observe(id, sizes.expectedMs(entry.task), report.runMs);
-            sizes.observe(entry.task, report.runMs);
+            sizes.observe(entry.task, averageMs);
             admission.finished(entry.expectedMs, this.agents.free + this.running, this.queued > 0, now);
             health.succeeded(id, attempt);
             agent.refusals = 0;
