Let callers with distant deadlines wait longer before a refusal

Cause: at 70% load with deadlines of 60 s, most refusals came from the bound of 1.5 s on the wait in lasting overload, which serves recovery after a peak and not such callers. Change: the bound is at least 15% of the time to the deadline.

--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -18,6 +18,8 @@
 const MAX_STANDING_WAIT_MS = 1500;
 /** Overload is lasting when the expected wait has stayed above half of its bound for this time. */
 const STANDING_AFTER_MS = 2000;
+/** A caller with a distant deadline prefers waiting for this part of the time to it over a refusal. */
+const PATIENCE_SHARE = 0.15;
 const MIN_RATE_PER_MS = 1e-6;
 const MIN_RETRY_AFTER_MS = 50;
 const NO_AGENTS_RETRY_AFTER_MS = 1000;
@@ -69,7 +71,8 @@
             return refusal(FaultCode.Overloaded, message, Math.min(wait, lateBy));
         }
         const standing = now - this.lastCalmAt > STANDING_AFTER_MS;
-        const bound = standing ? MAX_STANDING_WAIT_MS : MAX_BURST_WAIT_MS;
+        const patience = (job.deadlineAt - now) * PATIENCE_SHARE;
+        const bound = Math.max(patience, standing ? MAX_STANDING_WAIT_MS : MAX_BURST_WAIT_MS);
         return wait <= bound
             ? undefined
             : refusal(FaultCode.Overloaded, `expected wait ${Math.round(wait)} ms exceeds ${bound} ms`, wait - bound);
