Learn sizes by service too, decide classes by the typical run time, and age work more slowly

Causes: rare declared sizes had no correction, so jobs with one over-declared task were refused as too long; the mean run time of a declared size is moved by few tasks that run 8 times longer, so right declarations of 90 ms were classed as medium; large jobs older than 6 s overtook fresh single tasks. Change: a team's correction starts from that of all teams for the size; the class follows the geometric mean; waiting halves the weight of work in 2 s, not 1 s.

--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -81,7 +81,7 @@
             withdrawn: false,
         };
         this.jobs.set(job.id, job);
-        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes.expectedMs(task)));
+        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes));
         entries.sort((a, b) => a.expectedMs - b.expectedMs);
         for (const entry of entries) {
             job.tasks.set(entry.task.task, entry);
@@ -258,12 +258,12 @@
     }
 }
 
-function newEntry(job: JobEntry, task: QueuedTask, expectedMs: number): TaskEntry {
+function newEntry(job: JobEntry, task: QueuedTask, sizes: Sizes): TaskEntry {
     return {
         job,
         task,
-        expectedMs,
-        sizeClass: sizeClassOf(expectedMs / CLASS_TOLERANCE),
+        expectedMs: sizes.expectedMs(task),
+        sizeClass: sizeClassOf(sizes.typicalMs(task) / CLASS_TOLERANCE),
         phase: TaskPhase.Queued,
         agent: undefined,
         startedAt: 0,
--- a/src/entry/policy/LearntSizes.ts
+++ b/src/entry/policy/LearntSizes.ts
@@ -7,6 +7,8 @@
 const DEFAULT_RUN_MS = 300;
 const LEARNING_RATE = 0.05;
 const MIN_SAMPLES = 20;
+/** Samples that the correction known for a wider range of tasks counts as. */
+const PRIOR_SAMPLES = 5;
 /** A straggler counts as at most this multiple of the expected time. */
 const MAX_RATIO = 8;
 const LONG_P99_DEFAULT_MS = 10_000;
@@ -17,6 +19,8 @@
 
 interface Average {
     value: number;
+    /** Average of the logarithm to base 2. */
+    log2: number;
     samples: number;
 }
 
@@ -27,11 +31,12 @@
 
 /**
  * Learns one correction factor per team and power of two of the declared size, and one run time of undeclared tasks per
- * team, because what is wrong with the sizes is a habit of who declares them.
+ * team, because what is wrong with the sizes is a habit of who declares them. Until a team's factor has samples of its
+ * own, the factor of all teams for that size stands in, and before that the factor of all sizes.
  */
 export class LearntSizes implements Sizes {
     private readonly averages = new Map<string, Average>();
-    private readonly overall: Average = { value: 1, samples: 0 };
+    private readonly overall: Average = { value: 1, log2: 0, samples: 0 };
     private readonly histograms: readonly Histogram[] = [0, 1, 2].map(() => ({
         counts: new Float64Array(BINS),
         total: 0,
@@ -45,11 +50,15 @@
 
     public expectedMs(task: QueuedTask): number {
         const { declaredMs } = task;
-        const average = this.averages.get(bucketOf(task));
-        const base = Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
-        const usable = average !== undefined && average.samples >= MIN_SAMPLES;
-        const factor = usable ? average.value : declaredMs === undefined ? 1 : this.overall.value;
-        return Math.max(1, base * factor);
+        const prior = declaredMs === undefined ? 1 : this.overall.value;
+        const ofService = blend(this.averages.get(sizeOf(task)), "value", prior);
+        return Math.max(1, baseOf(task) * blend(this.averages.get(bucketOf(task)), "value", ofService));
+    }
+
+    public typicalMs(task: QueuedTask): number {
+        const prior = task.declaredMs === undefined ? 0 : this.overall.log2;
+        const ofService = blend(this.averages.get(sizeOf(task)), "log2", prior);
+        return Math.max(1, baseOf(task) * 2 ** blend(this.averages.get(bucketOf(task)), "log2", ofService));
     }
 
     public p99Ms(sizeClass: SizeClass): number {
@@ -69,21 +78,22 @@
     public observe(task: QueuedTask, runMs: number): void {
         const { declaredMs } = task;
         const expected = this.expectedMs(task);
-        const bounded = Math.min(runMs, expected * MAX_RATIO);
-        const ratio = bounded / Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
+        const bounded = Math.min(Math.max(1, runMs), expected * MAX_RATIO);
+        const ratio = bounded / baseOf(task);
         this.samples += 1;
         this.shortest = Math.min(this.shortest, runMs);
         this.record(sizeClassOf(expected), runMs);
-        learn(this.average(bucketOf(task), declaredMs), ratio);
+        learn(this.average(sizeOf(task)), ratio);
+        learn(this.average(bucketOf(task)), ratio);
         if (declaredMs !== undefined) {
             learn(this.overall, ratio);
         }
     }
 
-    private average(bucket: string, declaredMs: number | undefined): Average {
+    private average(bucket: string): Average {
         let average = this.averages.get(bucket);
         if (average === undefined) {
-            average = { value: declaredMs === undefined ? 1 : this.overall.value, samples: 0 };
+            average = { value: 1, log2: 0, samples: 0 };
             this.averages.set(bucket, average);
         }
         return average;
@@ -106,13 +116,30 @@
     }
 }
 
-function bucketOf({ team, declaredMs }: QueuedTask): string {
-    const size = declaredMs === undefined ? "undeclared" : Math.round(Math.log2(Math.max(1, declaredMs)));
-    return `${size}/${team}`;
+function sizeOf({ declaredMs }: QueuedTask): string {
+    return declaredMs === undefined ? "undeclared" : String(Math.round(Math.log2(Math.max(1, declaredMs))));
+}
+
+function bucketOf(task: QueuedTask): string {
+    return `${sizeOf(task)}/${task.team}`;
+}
+
+/** Weighs the average against the prior by its samples, so that rare sizes and new teams are corrected too. */
+function blend(average: Average | undefined, kind: "value" | "log2", prior: number): number {
+    if (average === undefined) {
+        return prior;
+    }
+    return (average[kind] * average.samples + prior * PRIOR_SAMPLES) / (average.samples + PRIOR_SAMPLES);
+}
+
+function baseOf({ declaredMs }: QueuedTask): number {
+    return Math.max(1, declaredMs ?? DEFAULT_RUN_MS);
 }
 
 /** Moves the average towards the value; the first samples count equally, so that learning starts fast. */
 function learn(average: Average, value: number): void {
     average.samples += 1;
-    average.value += (value - average.value) * Math.max(LEARNING_RATE, 1 / average.samples);
+    const rate = Math.max(LEARNING_RATE, 1 / average.samples);
+    average.value += (value - average.value) * rate;
+    average.log2 += (Math.log2(value) - average.log2) * rate;
 }
--- a/src/entry/policy/LeastRemainingWork.ts
+++ b/src/entry/policy/LeastRemainingWork.ts
@@ -1,7 +1,7 @@
 import type { Order } from "./Order.js";
 
 /** Time of waiting that halves the weight of the remaining work. */
-const HALF_LIFE_MS = 1000;
+const HALF_LIFE_MS = 2000;
 
 /**
  * Least remaining work first, with ageing. The weight `work * 2^(-waited / halfLife)` is compared by its logarithm, in
--- a/src/entry/policy/trial/idealPolicies.ts
+++ b/src/entry/policy/trial/idealPolicies.ts
@@ -20,6 +20,7 @@
         sizes: {
             shortestMs: 0,
             expectedMs: task => task.declaredMs ?? 1,
+            typicalMs: task => task.declaredMs ?? 1,
             p99Ms: () => Infinity,
             observe: ignore,
         },
