--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -22,6 +22,8 @@
 /** A team that was idle may claim its share of this time. */
 const FAIR_CLAIM_MS = 1500;
 const MIN_WEIGHT = 0.01;
+/** Expected times err by this factor even for right declarations, so that tasks just over a limit keep the class. */
+const CLASS_TOLERANCE = 1.5;
 
 /** Open jobs, and their queued tasks in the order in which they are to start. */
 export class Backlog {
@@ -79,7 +81,7 @@
             withdrawn: false,
         };
         this.jobs.set(job.id, job);
-        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes.expectedMs(task)));
+        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes));
         entries.sort((a, b) => a.expectedMs - b.expectedMs);
         for (const entry of entries) {
             job.tasks.set(entry.task.task, entry);
@@ -256,12 +258,12 @@
     }
 }
 
-function newEntry(job: JobEntry, task: QueuedTask, expectedMs: number): TaskEntry {
+function newEntry(job: JobEntry, task: QueuedTask, sizes: Sizes): TaskEntry {
     return {
         job,
         task,
-        expectedMs,
-        sizeClass: sizeClassOf(expectedMs),
+        expectedMs: sizes.expectedMs(task),
+        sizeClass: sizeClassOf(sizes.typicalMs(task) / CLASS_TOLERANCE),
         phase: TaskPhase.Queued,
         agent: undefined,
         startedAt: 0,
