Never start a repeatable task again while its fate is unknown

Ruled out: the agent's and the entry's verdicts, which were true. Change: a retry follows not_run, or ran with a failure for repeatable tasks. Conclusion: starts of unknown fate are final in the scheduler too.

--- a/src/entry/controllers/Agents.test.ts
+++ b/src/entry/controllers/Agents.test.ts
@@ -102,7 +102,15 @@
         const beats = () => channel.sent.filter(message => message.kind === "heartbeat").length;
         clock.advance(250);
         const told = beats();
-        const start = { kind: "start", issuer: "e", sequence: 1, task: 0, attempt: 1, payload: 0 } as const;
+        const start = {
+            kind: "start",
+            issuer: "e",
+            sequence: 1,
+            task: 0,
+            attempt: 1,
+            payload: 0,
+            digest: "d",
+        } as const;
         for (let step = 0; step < 20; step++) {
             agents.send("i1", { ...start, budgetMs: 1, repeatable: false, queued: 0 });
             channel.messages.fire({ kind: "credit", count: 1 });
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -236,7 +236,9 @@
             agent.restsUntil = now + retry.afterRefusal(agent.refusals);
         }
         const succeeded = report.verdict === Verdict.Ran && report.ok;
-        const mayRepeat = report.verdict === Verdict.NotRun || entry.task.repeatable;
+        // An attempt of unknown fate may still be running, so even a repeatable task is not started again after it.
+        const mayRepeat = report.verdict === Verdict.NotRun
+            || (report.verdict === Verdict.Ran && entry.task.repeatable);
         const gone = entry.withdrawn || entry.job.withdrawn || now >= entry.task.deadlineAt;
         if (succeeded || !mayRepeat || gone) {
             return undefined;
--- a/src/entry/policy/trial/runPlan.ts
+++ b/src/entry/policy/trial/runPlan.ts
@@ -34,7 +34,7 @@
     const result = simulate(scheduler, clusterOf(profile), plan.map(job => trialJobOf(job, scenario)));
     const results = plan.map((job, index) => jobResultOf(job, result.jobs[index], scenario));
     const base = { profile, scenario, scheduler: name, seed, startedAt: 0, results, messages: new Map() };
-    return { ...base, duplicates: 0, lostToFault: undefined };
+    return { ...base, repeated: undefined, lostToFault: undefined };
 }
 
 function clusterOf(profile: Profile): TrialCluster {
@@ -50,6 +50,7 @@
     const responseMs = result?.responseMs ?? (outcome === JobOutcome.Refused ? 0 : scenario.deadlineMs);
     return {
         job,
+        ticket: undefined,
         outcome,
         code: undefined,
         responseMs,
