Push agents only the section of their service, and shorten signs of life

Change: two agents per entry get the whole document; the others get only the section of their service, marked as partial, and keep an old document revision, so that no entry takes their copy for a whole one. Heartbeats with nothing to tell are frames without a body (4 bytes). A start also asks idle credits of other entries back, since heartbeats are left out beside starts.

--- a/src/agent/Agent.ts
+++ b/src/agent/Agent.ts
@@ -178,11 +178,8 @@
             .with({ kind: "release" }, ({ count }) => {
                 this.slots.release(channel, count);
             })
-            .with({ kind: "heartbeat" }, ({ load, revision }) => {
+            .with({ kind: "heartbeat" }, ({ load }) => {
                 this.slots.report(channel, load);
-                if (revision > this.configuration.revision) {
-                    channel.send({ kind: "pull", since: this.configuration.revision });
-                }
             })
             .with({ kind: "members" }, ({ rows }) => {
                 this.attachments.updateMembers(rows);
@@ -193,7 +190,7 @@
             .with({ kind: "configuration" }, configuration => {
                 this.configuration.adopt(configuration);
             })
-            .with({ kind: P.union("attached", "goodbye") }, () => undefined)
+            .with({ kind: P.union("alive", "attached", "goodbye") }, () => undefined)
             .otherwise(({ kind }) => {
                 this.runtime.log.write(AgentEvent.ProtocolViolation, { kind, peer: channel.peer.id });
             });
--- a/src/agent/Attachment.ts
+++ b/src/agent/Attachment.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../common/Clock.js";
 import type { Log } from "../common/log/Log.js";
 import { WireEvent } from "../common/log/WireEvent.js";
+import type { MessageOf } from "../common/wire/MessageOf.js";
 import type { AttachmentState } from "./AttachmentState.js";
 import type { TimedChannel } from "./TimedChannel.js";
 
@@ -13,17 +14,20 @@
 const MISSED_HEARTBEATS = 3;
 const ATTACH_TIMEOUT_MS = 3000;
 
+/** What a heartbeat tells. */
+type Report = Omit<MessageOf<"heartbeat">, "kind">;
+
 /** One connection to an entry, with its heartbeats and its state. */
 export class Attachment {
     public state: AttachmentState = "connected";
     private heardAt: number;
     private stateSince: number;
-    private toldRevision: number | undefined;
+    private told: Report | undefined;
     private cancelTimer: () => void = () => undefined;
 
     constructor(
         public readonly channel: TimedChannel,
-        private readonly heartbeat: () => { load: number; revision: number; },
+        private readonly report: () => Report,
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
@@ -76,12 +80,17 @@
         this.schedule();
     }
 
-    /** Any message is a sign of life; a heartbeat fills the silence and tells a new revision. */
+    /** Any message is a sign of life. A heartbeat tells a new revision at once and a new load after a second of silence. */
     private beat(): void {
-        const { load, revision } = this.heartbeat();
-        if (this.clock.now() - this.channel.sentAt >= HEARTBEAT_MS || revision !== this.toldRevision) {
-            this.toldRevision = revision;
-            this.channel.send({ kind: "heartbeat", load, revision });
+        const report = this.report();
+        const isSilent = this.clock.now() - this.channel.sentAt >= HEARTBEAT_MS;
+        const isAdopted = report.revision !== this.told?.revision || report.section !== this.told.section;
+        if (isAdopted || (isSilent && report.load !== this.told?.load)) {
+            this.told = report;
+            this.channel.send({ kind: "heartbeat", ...report });
+        }
+        else if (isSilent) {
+            this.channel.send({ kind: "alive" });
         }
     }
 }
--- a/src/agent/Attachments.ts
+++ b/src/agent/Attachments.ts
@@ -215,8 +215,12 @@
             channel.dispose();
             return undefined;
         }
-        const beat = () => ({ load: this.tasks.runningOf(channel), revision: this.configuration.revision });
-        const attachment = new Attachment(channel, beat, clock, log);
+        const report = () => ({
+            load: this.tasks.runningOf(channel),
+            revision: this.configuration.revision,
+            section: this.configuration.sectionOf(this.endpoint?.service),
+        });
+        const attachment = new Attachment(channel, report, clock, log);
         this.attachments.add(attachment);
         channel.onClose(reason => {
             this.closed(attachment, reason);
--- a/src/agent/ConfigurationCopy.ts
+++ b/src/agent/ConfigurationCopy.ts
@@ -4,13 +4,16 @@
 type Message = MessageOf<"configuration">;
 type Section = Message["sections"][number];
 
-/** Raw copy of the configuration sections, kept for entries that start while no other source is left. */
+/**
+ * Raw copy of the configuration sections, kept for entries that start while no other source is left. Most agents hold only
+ * the section of their service; their document revision stays behind, so no entry takes their copy for a whole one.
+ */
 export class ConfigurationCopy {
     private readonly sections = new Map<string, Section>();
     private readonly changes = new Emitter<number>();
     private documentRevision = 0;
 
-    /** Fires with the document revision after it moved forward. */
+    /** Fires with the revision of each message that moved the document or the section of the own service forward. */
     public readonly onChange = this.changes.event;
 
     /** Document revision of the copy, 0 for none. */
@@ -20,17 +23,27 @@
 
     /** Takes the sections that are newer than the kept ones; never moves back. */
     public adopt(message: Message): void {
-        for (const section of message.sections) {
-            if (section.revision > (this.sections.get(section.team)?.revision ?? 0)) {
-                this.sections.set(section.team, section);
-            }
+        const newer = message.sections.filter(({ team, revision }) => {
+            return revision > (this.sections.get(team)?.revision ?? 0);
+        });
+        newer.forEach(section => this.sections.set(section.team, section));
+        if (message.partial === true) {
+            newer.forEach(({ revision }) => this.changes.fire(revision));
         }
-        if (message.revision > this.documentRevision) {
+        else if (message.revision > this.documentRevision) {
             this.documentRevision = message.revision;
             this.changes.fire(message.revision);
         }
     }
 
+    /** Revision of the section that has `service`; 0 for none. */
+    public sectionOf(service: string | undefined): number {
+        const owners = [...this.sections.values()].filter(({ body }) => {
+            return service !== undefined && fieldOf(fieldOf(body, "services"), service) !== undefined;
+        });
+        return Math.max(0, ...owners.map(({ revision }) => revision));
+    }
+
     /** Answers `pull` with the sections that changed after document revision `revision`. */
     public since(revision: number): Message {
         const sections = [...this.sections.values()].filter(section => section.revision > revision);
--- a/src/agent/Slots.test.ts
+++ b/src/agent/Slots.test.ts
@@ -116,6 +116,16 @@
         assert.equal(credits.get("b"), 4);
     });
 
+    it("guards against a busy entry whose starts are its only reports of a queue, beside idle credits", () => {
+        const { slots, asked } = new Entries();
+        slots.resize(2);
+        slots.add("a");
+        slots.add("b");
+        slots.release("a", 1);
+        assert.equal(slots.use("b", 5), true);
+        assert.equal(asked.get("a"), 2);
+    });
+
     it("guards against keeping credits at a home that was replaced", () => {
         const { slots, asked, credits } = new Entries();
         slots.resize(8);
--- a/src/agent/Slots.ts
+++ b/src/agent/Slots.ts
@@ -78,6 +78,7 @@
         holder.reclaiming = Math.min(holder.reclaiming, holder.credits);
         holder.queued = queued;
         this.busy += 1;
+        this.reclaimIdle(holder);
         return true;
     }
 
@@ -113,6 +114,12 @@
             return;
         }
         holder.queued = queued;
+        this.reclaimIdle(holder);
+    }
+
+    /** Heartbeats are left out beside starts, so each start may be the only report of a queue. */
+    private reclaimIdle(holder: Holder): void {
+        const { queued } = holder;
         if (queued === 0 || holder.credits > 0 || holder.retired) {
             return;
         }
--- a/src/common/configuration/ConfigurationStore.ts
+++ b/src/common/configuration/ConfigurationStore.ts
@@ -33,6 +33,14 @@
         return this.owners.get(name)?.section?.services[name];
     }
 
+    /** The section that has a service, as it is stored. */
+    public sectionOf(service: string): StoredSection | undefined {
+        const held = this.owners.get(service);
+        return held?.section === undefined
+            ? undefined
+            : { team: held.section.team, revision: held.revision, body: held.section };
+    }
+
     public team(name: string): TeamSection | undefined {
         return this.held.get(name)?.section;
     }
--- a/src/common/wire/FrameCodec.ts
+++ b/src/common/wire/FrameCodec.ts
@@ -1,20 +1,24 @@
 import { decode, encode } from "cbor-x";
 import { Fault } from "../Fault.js";
 import { FaultCode } from "../FaultCode.js";
+import type { Message } from "./Message.js";
 
 const LENGTH_BYTES = 4;
 
+/** Sign of life of an idle connection: 4 bytes, because an entry sends and receives one a second for each agent. */
+const ALIVE: Message = { kind: "alive" };
+
 /** Largest body of a frame in bytes. */
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
-/** Splits a byte stream into frames (4-byte big-endian length, CBOR body) and encodes values as frames. */
+/** Splits a byte stream into frames (4-byte big-endian length, CBOR body) and encodes values as frames. An empty body is the message `alive`. */
 export class FrameCodec {
     private chunks: Buffer[] = [];
     private buffered = 0;
 
     /** Returns `value` as one frame; throws a `too_large` fault when it exceeds the frame limit. */
     public static encode(value: unknown): Buffer {
-        const body = encode(value);
+        const body = isAlive(value) ? Buffer.alloc(0) : encode(value);
         if (body.length > MAX_FRAME_BYTES) {
             throw new Fault(FaultCode.TooLarge, `frame of ${body.length} bytes exceeds ${MAX_FRAME_BYTES} bytes`);
         }
@@ -69,7 +73,14 @@
     }
 }
 
+function isAlive(value: unknown): boolean {
+    return typeof value === "object" && value !== null && "kind" in value && value.kind === ALIVE.kind;
+}
+
 function decodeBody(body: Buffer): unknown {
+    if (body.length === 0) {
+        return ALIVE;
+    }
     try {
         return decode(body);
     }
--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -109,13 +109,20 @@
     readonly issuer: string;
 }
 
-/** Both ways on an attached connection, once a second. */
+/** Both ways on an attached connection that was silent for a second, when there is something new to tell. */
 interface Heartbeat {
     readonly kind: "heartbeat";
     /** Entry: tasks waiting for a slot. Agent: tasks running. */
     readonly load: number;
-    /** Configuration revision in force at the sender, 0 for none. */
+    /** Document revision in force at the sender, 0 for none; an agent without the whole document keeps telling an old one. */
     readonly revision: number;
+    /** Agent: revision of the section of its service. */
+    readonly section?: number | undefined;
+}
+
+/** Both ways on an attached connection that was silent for a second; a frame without a body. */
+interface Alive {
+    readonly kind: "alive";
 }
 
 /** Agent to entry: no new starts from now on; running tasks end and are reported. */
@@ -149,6 +156,8 @@
         readonly revision: number;
         readonly body: unknown;
     }[];
+    /** True when only the section of the receiver's service is contained; `revision` then says nothing of the others. */
+    readonly partial?: boolean | undefined;
 }
 
 /** Entry to entry: a request that its peer answers with one `reply`. */
@@ -198,6 +207,7 @@
     | Records
     | Fenced
     | Heartbeat
+    | Alive
     | Drain
     | Members
     | Pull
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -83,13 +83,15 @@
         tasks: listOf(shapeOf({ task: isCount, attempt: isCount, outcome: optional(OUTCOME) })),
     },
     fenced: { issuer: isString },
-    heartbeat: { load: isCount, revision: isCount },
+    heartbeat: { load: isCount, revision: isCount, section: optional(isCount) },
+    alive: {},
     drain: { reason: isString },
     members: { rows: listOf(MEMBER), beats: optional(listOf(isCount)), unknown: optional(listOf(isCount)) },
     pull: { since: isCount },
     configuration: {
         revision: isCount,
         sections: listOf(shapeOf({ team: isString, revision: isCount, body: isAnything })),
+        partial: optional(isBoolean),
     },
     call: { id: isCount, method: isString, body: isAnything },
     reply: {
--- a/src/entry/controllers/AgentSession.ts
+++ b/src/entry/controllers/AgentSession.ts
@@ -13,11 +13,13 @@
     /** Time of the last message from the agent. */
     public heardAt: number;
     public draining = false;
-    /** Configuration revision of the last heartbeat; 0 for none. */
+    /** Document revision of the last heartbeat; 0 for none. */
     public revision = 0;
+    /** Revision of the section of the agent's service, by its last heartbeat; 0 for none. */
+    public section = 0;
     /** Time of the last message that told the agent how many tasks wait. */
     private toldAt: number;
-    private toldRevision = 0;
+    private toldLoad: number | undefined;
 
     constructor(
         public readonly channel: Channel,
@@ -40,17 +42,20 @@
     public send(message: Message): boolean {
         if (message.kind === "start") {
             this.toldAt = this.clock.now();
+            this.toldLoad = message.queued;
         }
         return this.channel.send(message);
     }
 
-    /** Sends a heartbeat unless a `start` told the load within `intervalMs` and the revision is known to the agent. */
+    /** Sends a heartbeat, or only a sign of life while no tasks wait, unless a `start` was sent within `intervalMs`. */
     public beat(load: number, revision: number, intervalMs: number): void {
-        if (this.clock.now() - this.toldAt < intervalMs && revision === this.toldRevision) {
+        if (this.clock.now() - this.toldAt < intervalMs) {
             return;
         }
         this.toldAt = this.clock.now();
-        this.toldRevision = revision;
-        this.channel.send({ kind: "heartbeat", load, revision });
+        this.channel.send(
+            load === 0 && this.toldLoad === 0 ? { kind: "alive" } : { kind: "heartbeat", load, revision },
+        );
+        this.toldLoad = load;
     }
 }
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -92,7 +92,9 @@
     public all(): readonly AttachedAgent[] {
         return [...this.sessions.values()].map(session => ({
             id: session.peer.id,
+            service: session.service,
             revision: session.revision,
+            section: session.section,
             send: message => session.send(message),
         }));
     }
@@ -166,8 +168,9 @@
             .with({ kind: "revoked" }, report => {
                 this.events.fire({ kind: "revoked", service, agent, report });
             })
-            .with({ kind: "heartbeat" }, ({ revision }) => {
+            .with({ kind: "heartbeat" }, ({ revision, section }) => {
                 session.revision = revision;
+                session.section = section ?? 0;
             })
             .with({ kind: "configuration" }, { kind: "pull" }, state => {
                 const reply = (answer: Message) => session.channel.send(answer);
--- a/src/entry/controllers/Configuration.ts
+++ b/src/entry/controllers/Configuration.ts
@@ -14,6 +14,7 @@
 import type { Message } from "../../common/wire/Message.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import type { AttachedAgents } from "../AttachedAgents.js";
+import { AgentPushes } from "../configuration/AgentPushes.js";
 import type { ChangeResult } from "../configuration/ChangeResult.js";
 import { ConfigurationRows } from "../configuration/ConfigurationRows.js";
 import type { ConfigurationStatus } from "../configuration/ConfigurationStatus.js";
@@ -38,18 +39,8 @@
 /** Every entry reads the head row at least this often, in case both pollers are cut off from the store. */
 const VERIFY_MS = 10_000;
 
-/** A push to an agent is repeated after this time when the agent still reports an older revision. */
-const PUSH_AGAIN_MS = 3000;
-
 const RETRY_AFTER_MS = 1000;
 
-/** Last push to an agent: its revision then, this entry's revision, and the time. */
-interface Push {
-    readonly from: number;
-    readonly to: number;
-    readonly at: number;
-}
-
 /** What the configuration works with. */
 interface ConfigurationOptions {
     readonly store: ConfigurationStore;
@@ -71,12 +62,13 @@
     private readonly rows: ConfigurationRows | undefined;
     private readonly head: HeadReader | undefined;
     private readonly writer: ConfigurationWriter | undefined;
-    private readonly pushes = new Map<string, Push>();
+    private readonly pushes: AgentPushes;
     private heardAt: number;
 
     constructor(private readonly options: ConfigurationOptions) {
         const { table, store, clock, log } = options;
         this.heardAt = clock.now();
+        this.pushes = new AgentPushes(store, options.agents, clock);
         if (table !== undefined) {
             const rows = new ConfigurationRows(table);
             const head = new HeadReader(rows, store, clock, log);
@@ -146,12 +138,12 @@
 
     /** Which revision is in force where, as far as this entry knows. */
     public status(): ConfigurationStatus {
-        const { store, members, agents, id } = this.options;
+        const { store, members, id } = this.options;
         const toHolder = (holder: { readonly id: string; readonly revision: number; }) => {
             return { id: holder.id, revision: holder.id === id ? store.revision : holder.revision };
         };
         const entryRows = members.rows().map(toHolder);
-        const agentRows = agents.attached().map(({ id: agent, revision }) => ({ id: agent, revision }));
+        const agentRows = this.pushes.revisions();
         const holders = [...entryRows, ...agentRows];
         const stored = this.head?.lastRevision;
         const newest = Math.max(stored ?? 0, store.revision, ...holders.map(holder => holder.revision));
@@ -203,7 +195,7 @@
             void this.head?.poll();
         }
         this.pull();
-        this.push();
+        this.pushes.push();
     }
 
     private mustPoll(): boolean {
@@ -220,7 +212,7 @@
         const result = await change;
         if (result.kind === "applied") {
             await this.head?.poll();
-            this.push();
+            this.pushes.push();
         }
         return result;
     }
@@ -242,25 +234,6 @@
         agent?.send(request);
     }
 
-    /** Sends each attached agent what it lacks according to its last heartbeat. */
-    private push(): void {
-        const { store, agents, clock } = this.options;
-        const now = clock.now();
-        const attached = agents.attached();
-        const ids = new Set(attached.map(agent => agent.id));
-        for (const id of [...this.pushes.keys()].filter(known => !ids.has(known))) {
-            this.pushes.delete(id);
-        }
-        for (const agent of attached.filter(({ revision }) => revision < store.revision)) {
-            const last = this.pushes.get(agent.id);
-            const isSame = last?.from === agent.revision && last.to === store.revision;
-            const isUnderWay = isSame && now - last.at < PUSH_AGAIN_MS;
-            if (!isUnderWay && agent.send(store.changesSince(agent.revision))) {
-                this.pushes.set(agent.id, { from: agent.revision, to: store.revision, at: now });
-            }
-        }
-    }
-
     private pick<T>(candidates: readonly T[]): T | undefined {
         return candidates[Math.floor(this.options.random.next() * candidates.length)];
     }
--- a/src/test/configuration.test.ts
+++ b/src/test/configuration.test.ts
@@ -124,7 +124,9 @@
             assert.equal(entry.configuration.refusal()?.code, "no_configuration");
             agents.push({
                 id: "agent",
+                service: "payout",
                 revision: 4,
+                section: 4,
                 send: message => {
                     assert.ok(message.kind === "pull");
                     entry.configuration.receive(copy.changesSince(message.since), "agent", () => true);
@@ -140,9 +142,11 @@
         const copy = new ConfigurationStore();
         const agent: AttachedAgent = {
             id: "agent",
+            service: "payout",
             get revision() {
                 return copy.revision;
             },
+            section: 0,
             send: message => {
                 assert.ok(message.kind === "configuration");
                 copy.adopt(message.revision, message.sections);
