Finish admitted jobs before their deadlines, and keep long tasks off slow agents

Causes, found by the jobs that failed in the peak: smaller jobs overtook a started large job until its deadline, so its work was lost; then whole jobs failed by one long task that ran on a slow agent at the end. Change: Commitments holds the latest start of each job (deadline less its work at the team's pace, its longest task and a margin of 20%); from then on the job goes before others of its team, and a new job that would delay it beyond that is refused. On an agent slower than 1.2 times the mean, a job starts a task of a shorter class first. FairChoice and newTaskEntry are split from Backlog.

--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -1,45 +1,48 @@
+import { Commitments } from "./Commitments.js";
+import { FairChoice } from "./FairChoice.js";
 import type { FairShare } from "./FairShare.js";
 import { IndexedHeap } from "./IndexedHeap.js";
 import type { JobEntry } from "./JobEntry.js";
+import { newTaskEntry } from "./newTaskEntry.js";
 import type { Order } from "./Order.js";
 import type { QueuedTask } from "./QueuedTask.js";
 import type { ScheduledJob } from "./ScheduledJob.js";
-import { SizeClass } from "./SizeClass.js";
-import { sizeClassOf } from "./sizeClassOf.js";
+import type { SizeClass } from "./SizeClass.js";
 import type { Sizes } from "./Sizes.js";
 import type { TaskEntry } from "./TaskEntry.js";
 import type { TaskGroup } from "./TaskGroup.js";
 import { TaskGroups } from "./TaskGroups.js";
 import { TaskPhase } from "./TaskPhase.js";
+import type { TeamEntry } from "./TeamEntry.js";
 import { Teams } from "./Teams.js";
 
 const SIZE_CLASSES: readonly SizeClass[] = [2, 1, 0];
 
-/** Teams whose service differs by less than their share of this time count as equally served. */
-const FAIR_SLACK_MS = 1500;
-/** Short tasks cost little service, so that a larger difference is made up for soon. */
-const SHORT_SLACK_FACTOR = 4;
-/** A team that was idle may claim its share of this time. */
-const FAIR_CLAIM_MS = 1500;
 const MIN_WEIGHT = 0.01;
-/** Expected times err by this factor even for right declarations, so that tasks just over a limit keep the class. */
-const CLASS_TOLERANCE = 1.5;
+/** Before every key of an order. */
+const URGENT_KEY = -1e9;
+const MS_PER_KEY = 1000;
 
 /** Open jobs, and their queued tasks in the order in which they are to start. */
 export class Backlog {
     public readonly teams = new Teams();
     private readonly jobs = new Map<string, JobEntry>();
     private readonly groups = new TaskGroups();
+    private readonly choice: FairChoice;
+    private readonly commitments = new Commitments();
     private readonly deadlines = new IndexedHeap<JobEntry>();
     private readonly waiting = new IndexedHeap<TaskEntry>();
     private queuedTasks = 0;
     private queuedWorkMs = 0;
+    private slots = 1;
 
     constructor(
         private readonly order: Order,
         private readonly fairShare: FairShare,
         private readonly sizes: Sizes,
-    ) {}
+    ) {
+        this.choice = new FairChoice(this.groups, fairShare);
+    }
 
     /** Queued tasks, with those that wait for a retry. */
     public get queued(): number {
@@ -72,16 +75,18 @@
             team: this.teams.get(scheduled.team),
             group: this.groups.enter(scheduled.agents),
             enqueuedAt: now,
+            deadlineAt: scheduled.deadlineAt,
             tasks: new Map(),
             lanes: SIZE_CLASSES.map(() => []),
             queued: 0,
             queuedMs: 0,
             key: 0,
+            urgent: false,
             rankedMs: 0,
             withdrawn: false,
         };
         this.jobs.set(job.id, job);
-        const entries = scheduled.tasks.map(task => newEntry(job, task, this.sizes));
+        const entries = scheduled.tasks.map(task => newTaskEntry(job, task, this.sizes));
         entries.sort((a, b) => a.expectedMs - b.expectedMs);
         for (const entry of entries) {
             job.tasks.set(entry.task.task, entry);
@@ -109,36 +114,42 @@
             entry.job.lanes[entry.sizeClass]?.push(entry);
             this.rank(entry.job);
         }
+        for (let job = this.commitments.takeDue(now); job !== undefined; job = this.commitments.takeDue(now)) {
+            job.urgent = true;
+            this.rank(job);
+        }
+    }
+
+    /** Sets the number of slots of the agents that accept work. */
+    public setSlots(slots: number): void {
+        this.slots = slots;
+    }
+
+    /** Time by which a new job with the key may delay the team's other jobs; Infinity when it delays none. */
+    public slackMs(team: TeamEntry, key: number, now: number): number {
+        const first = this.commitments.first(team);
+        if (first === undefined || key >= first.job.key) {
+            return Infinity;
+        }
+        const beforeMs = this.teams.workBefore(team, first.job.key) - first.job.queuedMs;
+        return first.latestStart - now - Math.max(0, beforeMs) / this.paceOf(team);
     }
 
-    /**
-     * Returns the next task among groups and classes that may start. Of the teams whose service is nearly as far behind
-     * as that of the team furthest behind, the one with the best job is served.
-     */
+    /** Returns the next task among groups and classes that may start. */
     public next(
         usable: (group: TaskGroup) => boolean,
         allowed: (sizeClass: SizeClass) => boolean,
         slots: number,
     ): TaskEntry | undefined {
-        const classes = SIZE_CLASSES.filter(allowed);
-        const groups = [...this.groups.all()].filter(group => hasWork(group, classes) && usable(group));
-        const smallest = Math.min(...groups.map(group => smallestTag(group, classes)));
-        if (smallest === Infinity) {
-            return undefined;
-        }
         const tagPerMs = slots / Math.max(MIN_WEIGHT, this.teams.backloggedWeight);
-        const slack = FAIR_SLACK_MS * tagPerMs;
-        this.fairShare.advance(smallest, FAIR_CLAIM_MS * tagPerMs);
-        let best: TaskEntry | undefined;
-        for (const group of groups) {
-            for (const sizeClass of classes) {
-                const job = group.lanes[sizeClass]?.best(smallest + slackOf(sizeClass, slack));
-                if (job !== undefined && (best === undefined || job.key < best.job.key)) {
-                    best = job.lanes[sizeClass]?.at(-1);
-                }
-            }
-        }
-        return best;
+        return this.choice.next(usable, SIZE_CLASSES.filter(allowed), tagPerMs);
+    }
+
+    /** Returns the longest queued task of a shorter class of the same job, or the task itself when there is none. */
+    public shorter(entry: TaskEntry): TaskEntry {
+        const classes = SIZE_CLASSES.filter(sizeClass => sizeClass < entry.sizeClass);
+        const lane = classes.map(sizeClass => entry.job.lanes[sizeClass]).find(tasks => (tasks?.length ?? 0) > 0);
+        return lane?.at(-1) ?? entry;
     }
 
     /** Takes a queued or waiting task out of the queue, into the given phase. */
@@ -228,7 +239,9 @@
     }
 
     private rank(job: JobEntry): void {
-        this.teams.rank(job, this.order.key(job.queuedMs, job.enqueuedAt));
+        this.commit(job);
+        const key = this.order.key(job.queuedMs, job.enqueuedAt);
+        this.teams.rank(job, job.urgent ? URGENT_KEY + job.deadlineAt / MS_PER_KEY : key);
         const tag = this.fairShare.tag(job.team.name);
         for (const sizeClass of SIZE_CLASSES) {
             const lane = job.group.lanes[sizeClass];
@@ -241,6 +254,20 @@
         }
     }
 
+    private commit(job: JobEntry): void {
+        if (job.queued === 0) {
+            this.commitments.forget(job);
+            return;
+        }
+        const longestMs = Math.max(0, ...job.lanes.map(lane => lane.at(-1)?.expectedMs ?? 0));
+        this.commitments.watch(job, longestMs, this.paceOf(job.team));
+    }
+
+    /** Work per millisecond that the team is due. */
+    private paceOf(team: TeamEntry): number {
+        return Math.max(1, this.slots) * this.teams.share(team);
+    }
+
     private watchDeadline(entry: TaskEntry): void {
         const known = this.deadlines.keyOf(entry.job) ?? Infinity;
         if (entry.task.deadlineAt < known) {
@@ -258,33 +285,6 @@
     }
 }
 
-function newEntry(job: JobEntry, task: QueuedTask, sizes: Sizes): TaskEntry {
-    return {
-        job,
-        task,
-        expectedMs: sizes.expectedMs(task),
-        sizeClass: sizeClassOf(sizes.typicalMs(task) / CLASS_TOLERANCE),
-        phase: TaskPhase.Queued,
-        agent: undefined,
-        startedAt: 0,
-        failures: 0,
-        refusals: 0,
-        withdrawn: false,
-    };
-}
-
 function isQueued(entry: TaskEntry): boolean {
     return entry.phase === TaskPhase.Queued || entry.phase === TaskPhase.Waiting;
 }
-
-function slackOf(sizeClass: SizeClass, slack: number): number {
-    return sizeClass === SizeClass.Short ? slack * SHORT_SLACK_FACTOR : slack;
-}
-
-function hasWork(group: TaskGroup, classes: readonly SizeClass[]): boolean {
-    return smallestTag(group, classes) < Infinity;
-}
-
-function smallestTag(group: TaskGroup, classes: readonly SizeClass[]): number {
-    return Math.min(...classes.map(sizeClass => group.lanes[sizeClass]?.smallestTag ?? Infinity));
-}
--- /dev/null
+++ b/src/entry/policy/Commitments.ts
@@ -0,0 +1,52 @@
+import { IndexedHeap } from "./IndexedHeap.js";
+import type { JobEntry } from "./JobEntry.js";
+import type { TeamEntry } from "./TeamEntry.js";
+
+/** Run times of the last tasks, on slow agents and with wrong sizes, relative to the longest expected one. */
+const TAIL_FACTOR = 1.5;
+/** Bounds the tail by a part of the time to the deadline, so that one over-declared task does not make a job urgent. */
+const MAX_TAIL_SHARE = 0.3;
+/** Part of the time to the deadline that is kept for errors of the estimates. */
+const MARGIN_SHARE = 0.2;
+
+/**
+ * Latest times at which admitted jobs must start to be served before others of their team. Work of a job that misses its
+ * deadline is lost, so smaller jobs may overtake a job only until then.
+ */
+export class Commitments {
+    private readonly starts = new IndexedHeap<JobEntry>();
+    private readonly byTeam = new Map<TeamEntry, IndexedHeap<JobEntry>>();
+
+    /** Watches a job with queued work; `pace` is the work per millisecond that its team is due. */
+    public watch(job: JobEntry, longestMs: number, pace: number): void {
+        const totalMs = job.deadlineAt - job.enqueuedAt;
+        const tailMs = Math.min(longestMs * TAIL_FACTOR, totalMs * MAX_TAIL_SHARE);
+        const latest = job.deadlineAt - totalMs * MARGIN_SHARE - tailMs - job.queuedMs / pace;
+        const heap = this.byTeam.get(job.team) ?? new IndexedHeap<JobEntry>();
+        this.byTeam.set(job.team, heap);
+        heap.set(job, latest);
+        if (!job.urgent) {
+            this.starts.set(job, latest);
+        }
+    }
+
+    public forget(job: JobEntry): void {
+        this.starts.delete(job);
+        const heap = this.byTeam.get(job.team);
+        if (heap?.delete(job) === true && heap.size === 0) {
+            this.byTeam.delete(job.team);
+        }
+    }
+
+    /** Returns a job whose latest start has come, once. */
+    public takeDue(now: number): JobEntry | undefined {
+        return this.starts.popUpTo(now);
+    }
+
+    /** Job of the team that must start first, and the time by which it must. */
+    public first(team: TeamEntry): { readonly job: JobEntry; readonly latestStart: number; } | undefined {
+        const heap = this.byTeam.get(team);
+        const job = heap?.peek();
+        return heap === undefined || job === undefined ? undefined : { job, latestStart: heap.peekKey() };
+    }
+}
--- a/src/entry/policy/Demand.ts
+++ b/src/entry/policy/Demand.ts
@@ -7,6 +7,8 @@
     readonly teamQueuedMs: number;
     /** The part of it that goes before the job. */
     readonly teamBeforeMs: number;
+    /** Time by which the job may delay other jobs of its team without making one late; Infinity when it delays none. */
+    readonly teamSlackMs: number;
     /** Service that the team may claim before others, because it left that to them. */
     readonly teamClaimMs: number;
     /** Share of service due to the team among the teams with queued work, 0 to 1. */
--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -70,6 +70,11 @@
             const message = `expected wait ${Math.round(wait)} ms exceeds the deadline`;
             return refusal(FaultCode.Overloaded, message, Math.min(wait, lateBy));
         }
+        const delayMs = this.waitMs(demand.jobMs, demand, demand.teamShare);
+        if (delayMs > demand.teamSlackMs) {
+            const message = `${Math.round(delayMs)} ms of work would make an admitted job of the team late`;
+            return refusal(FaultCode.Overloaded, message, delayMs);
+        }
         const standing = now - this.lastCalmAt > STANDING_AFTER_MS;
         const patience = (job.deadlineAt - now) * PATIENCE_SHARE;
         const bound = Math.max(patience, standing ? MAX_STANDING_WAIT_MS : MAX_BURST_WAIT_MS);
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -25,6 +25,9 @@
 /** A task is overdue after this multiple of its class's p99. */
 const OVERDUE_FACTOR = 4;
 
+/** Agents above this ratio get the shorter tasks of a job, so that its longest task does not end long after the others. */
+const SLOW_RATIO = 1.2;
+
 /** Late binding with fair shares between teams, least remaining work within them, and the fastest free agent. */
 export class FairScheduler implements Scheduler {
     private readonly policies: FairPolicies;
@@ -106,6 +109,7 @@
             return undefined;
         }
         const slots = this.agents.free + this.runningTasks.size;
+        this.backlog.setSlots(slots);
         const reserved = this.limits?.reservedShare ?? 0;
         const { placement } = this.policies;
         const entry = this.backlog.next(
@@ -168,14 +172,16 @@
         return { agents, teams };
     }
 
-    private start(entry: TaskEntry, now: number): Assignment | undefined {
-        const { health, placement, retry, sizes } = this.policies;
-        const candidates = this.agents.candidates(entry.job.group, now);
+    private start(first: TaskEntry, now: number): Assignment | undefined {
+        const { health, placement, retry, sizes, speed } = this.policies;
+        const candidates = this.agents.candidates(first.job.group, now);
         const probe = candidates.find(candidate => health.probeDue(candidate.profile.id, now));
-        const agent = probe ?? placement.pick(candidates, entry.agent?.profile.id);
+        const agent = probe ?? placement.pick(candidates, first.agent?.profile.id);
         if (agent === undefined) {
             return undefined;
         }
+        const isSlow = speed.ratio(agent.profile.id) > SLOW_RATIO;
+        const entry = isSlow ? this.backlog.shorter(first) : first;
         this.backlog.take(entry, TaskPhase.Running);
         this.backlog.charge(entry, entry.expectedMs);
         this.agents.addCredits(agent, -1);
@@ -264,12 +270,14 @@
         const team = this.backlog.teams.peek(job.team);
         const expected = job.tasks.map(task => this.policies.sizes.expectedMs(task));
         const jobMs = expected.reduce((sum, ms) => sum + ms, 0);
+        const key = this.policies.order.key(jobMs, now);
         return {
             queued: this.backlog.queued,
             queuedMs: this.backlog.queuedMs,
             teamTasks: team.queued + team.running,
             teamQueuedMs: team.queuedMs,
-            teamBeforeMs: this.backlog.teams.workBefore(team, this.policies.order.key(jobMs, now)),
+            teamBeforeMs: this.backlog.teams.workBefore(team, key),
+            teamSlackMs: this.backlog.slackMs(team, key, now),
             teamClaimMs: this.policies.fairShare.claim(team.name) * team.weight,
             teamShare: this.backlog.teams.share(team),
             ...this.agents.capacity(job.agents),
--- a/src/entry/policy/JobEntry.ts
+++ b/src/entry/policy/JobEntry.ts
@@ -8,6 +8,7 @@
     readonly team: TeamEntry;
     readonly group: TaskGroup;
     readonly enqueuedAt: number;
+    readonly deadlineAt: number;
     /** Tasks that have not ended, by index. */
     readonly tasks: Map<number, TaskEntry>;
     /** Queued tasks by size class, in ascending order of expected time. */
@@ -17,6 +18,8 @@
     /** Expected work not yet started, in milliseconds. */
     queuedMs: number;
     key: number;
+    /** Goes before other jobs of its team, because it would miss its deadline otherwise. */
+    urgent: boolean;
     /** Part of `queuedMs` that its team counts under the present key. */
     rankedMs: number;
     /** The whole job was withdrawn: running tasks are not queued again. */
