Bound expected run times by the longest observed one

Cause: after the peak, jobs were refused because one task declared 16 to 30 s, which no task ever ran, and its size was too rare for a correction. Change: after 200 samples no task is expected to run longer than the longest observed.

--- a/src/entry/policy/LearntSizes.ts
+++ b/src/entry/policy/LearntSizes.ts
@@ -7,6 +7,8 @@
 const DEFAULT_RUN_MS = 300;
 const LEARNING_RATE = 0.05;
 const MIN_SAMPLES = 20;
+/** The longest run time is known after this many samples. */
+const SAMPLES_OF_LONGEST = 200;
 /** Samples that the correction known for a wider range of tasks counts as. */
 const PRIOR_SAMPLES = 5;
 /** A straggler counts as at most this multiple of the expected time. */
@@ -42,6 +44,7 @@
         total: 0,
     }));
     private shortest = Infinity;
+    private longest = 0;
     private samples = 0;
 
     public get shortestMs(): number {
@@ -52,7 +55,8 @@
         const { declaredMs } = task;
         const prior = declaredMs === undefined ? 1 : this.overall.value;
         const ofService = blend(this.averages.get(sizeOf(task)), "value", prior);
-        return Math.max(1, baseOf(task) * blend(this.averages.get(bucketOf(task)), "value", ofService));
+        const corrected = baseOf(task) * blend(this.averages.get(bucketOf(task)), "value", ofService);
+        return Math.max(1, Math.min(corrected, this.longestMs()));
     }
 
     public typicalMs(task: QueuedTask): number {
@@ -82,6 +86,7 @@
         const ratio = bounded / baseOf(task);
         this.samples += 1;
         this.shortest = Math.min(this.shortest, runMs);
+        this.longest = Math.max(this.longest, runMs);
         this.record(sizeClassOf(expected), runMs);
         learn(this.average(sizeOf(task)), ratio);
         learn(this.average(bucketOf(task)), ratio);
@@ -90,6 +95,11 @@
         }
     }
 
+    /** A size beyond all that has run is more likely a wrong declaration, and one such task would refuse its job. */
+    private longestMs(): number {
+        return this.samples < SAMPLES_OF_LONGEST ? Infinity : this.longest;
+    }
+
     private average(bucket: string): Average {
         let average = this.averages.get(bucket);
         if (average === undefined) {
