Admit jobs of negligible work although admitted jobs are near their deadlines

Cause: single short tasks were refused up to 3 s after the peak for 3 ms of delay to others. Change: work below 0.1% of the time to the deadline passes this check.

--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -20,6 +20,8 @@
 const STANDING_AFTER_MS = 2000;
 /** A caller with a distant deadline prefers waiting for this part of the time to it over a refusal. */
 const PATIENCE_SHARE = 0.15;
+/** Jobs of less work than this part of the time to the deadline delay others too little to be refused for it. */
+const TINY_SHARE = 0.001;
 const MIN_RATE_PER_MS = 1e-6;
 const MIN_RETRY_AFTER_MS = 50;
 const NO_AGENTS_RETRY_AFTER_MS = 1000;
@@ -71,7 +73,8 @@
             return refusal(FaultCode.Overloaded, message, Math.min(wait, lateBy));
         }
         const delayMs = this.waitMs(demand.jobMs, demand, demand.teamShare);
-        if (delayMs > demand.teamSlackMs) {
+        const isTiny = delayMs < (job.deadlineAt - now) * TINY_SHARE;
+        if (delayMs > demand.teamSlackMs && !isTiny) {
             const message = `${Math.round(delayMs)} ms of work would make an admitted job of the team late`;
             return refusal(FaultCode.Overloaded, message, delayMs);
         }
