Give slow agents the task of a job with the smallest expected time

Cause: under-declared long tasks look medium; one of them at the end on an agent of half speed fails a large job. Small declared sizes are seldom long tasks.

--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -145,11 +145,9 @@
         return this.choice.next(usable, SIZE_CLASSES.filter(allowed), tagPerMs);
     }
 
-    /** Returns the longest queued task of a shorter class of the same job, or the task itself when there is none. */
-    public shorter(entry: TaskEntry): TaskEntry {
-        const classes = SIZE_CLASSES.filter(sizeClass => sizeClass < entry.sizeClass);
-        const lane = classes.map(sizeClass => entry.job.lanes[sizeClass]).find(tasks => (tasks?.length ?? 0) > 0);
-        return lane?.at(-1) ?? entry;
+    /** Returns the queued task of the same job with the smallest expected time. */
+    public shortest(entry: TaskEntry): TaskEntry {
+        return entry.job.lanes.find(lane => lane.length > 0)?.[0] ?? entry;
     }
 
     /** Takes a queued or waiting task out of the queue, into the given phase. */
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -181,7 +181,7 @@
             return undefined;
         }
         const isSlow = speed.ratio(agent.profile.id) > SLOW_RATIO;
-        const entry = isSlow ? this.backlog.shorter(first) : first;
+        const entry = isSlow ? this.backlog.shortest(first) : first;
         this.backlog.take(entry, TaskPhase.Running);
         this.backlog.charge(entry, entry.expectedMs);
         this.agents.addCredits(agent, -1);
