Keep half of the time to the deadline for the last tasks of a job

Cause: jobs of the peak failed by under-declared long tasks that started 7 to 8 s into a deadline of 10 s; the longest expected queued task does not tell that. Change: the latest start of a job leaves half of its time, instead of a margin and the longest expected task.

--- a/src/entry/policy/Backlog.ts
+++ b/src/entry/policy/Backlog.ts
@@ -257,8 +257,7 @@
             this.commitments.forget(job);
             return;
         }
-        const longestMs = Math.max(0, ...job.lanes.map(lane => lane.at(-1)?.expectedMs ?? 0));
-        this.commitments.watch(job, longestMs, this.paceOf(job.team));
+        this.commitments.watch(job, this.paceOf(job.team));
     }
 
     /** Work per millisecond that the team is due. */
--- a/src/entry/policy/Commitments.ts
+++ b/src/entry/policy/Commitments.ts
@@ -2,12 +2,11 @@
 import type { JobEntry } from "./JobEntry.js";
 import type { TeamEntry } from "./TeamEntry.js";
 
-/** Run times of the last tasks, on slow agents and with wrong sizes, relative to the longest expected one. */
-const TAIL_FACTOR = 1.5;
-/** Bounds the tail by a part of the time to the deadline, so that one over-declared task does not make a job urgent. */
-const MAX_TAIL_SHARE = 0.3;
-/** Part of the time to the deadline that is kept for errors of the estimates. */
-const MARGIN_SHARE = 0.2;
+/**
+ * Part of the time to the deadline in which the last tasks of a job run. Some of them are long although declared short,
+ * and some run on slow agents, so that the expected times of the tasks left do not tell how long the end takes.
+ */
+const TAIL_SHARE = 0.5;
 
 /**
  * Latest times at which admitted jobs must start to be served before others of their team. Work of a job that misses its
@@ -18,10 +17,9 @@
     private readonly byTeam = new Map<TeamEntry, IndexedHeap<JobEntry>>();
 
     /** Watches a job with queued work; `pace` is the work per millisecond that its team is due. */
-    public watch(job: JobEntry, longestMs: number, pace: number): void {
-        const totalMs = job.deadlineAt - job.enqueuedAt;
-        const tailMs = Math.min(longestMs * TAIL_FACTOR, totalMs * MAX_TAIL_SHARE);
-        const latest = job.deadlineAt - totalMs * MARGIN_SHARE - tailMs - job.queuedMs / pace;
+    public watch(job: JobEntry, pace: number): void {
+        const tailMs = (job.deadlineAt - job.enqueuedAt) * TAIL_SHARE;
+        const latest = job.deadlineAt - tailMs - job.queuedMs / pace;
         const heap = this.byTeam.get(job.team) ?? new IndexedHeap<JobEntry>();
         this.byTeam.set(job.team, heap);
         heap.set(job, latest);
--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -83,7 +83,11 @@
         const bound = Math.max(patience, standing ? MAX_STANDING_WAIT_MS : MAX_BURST_WAIT_MS);
         return wait <= bound
             ? undefined
-            : refusal(FaultCode.Overloaded, `expected wait ${Math.round(wait)} ms exceeds ${bound} ms`, wait - bound);
+            : refusal(
+                FaultCode.Overloaded,
+                `expected wait ${Math.round(wait)} ms exceeds ${Math.round(bound)} ms`,
+                wait - bound,
+            );
     }
 
     /**
