Bound what malformed input can take, and fuzz the wire, ticket and HTTP edges

Cause: a five-byte CBOR list head made the decoder allocate up to its declared length, tags built other objects, deep JSON overflowed the stack and was answered as internal error with verdict may_have_run, tickets decoded from several spellings, a peer that never closed its side kept a socket, and HTTP errors below the routes had no code and verdict. Change: frame bodies are checked before they are decoded; the first frame has at most 4 KiB; 128 pending handshakes per listener; sockets are destroyed 2 s after an orderly close; tickets must be canonical base64url; bodies are nested at most 64 levels and have no __proto__ field, also outputs of endpoints; arriving bodies share 64 MiB; 4,096 caller connections; headers within 10 s, checked each second; Node.js refusals (400, 408, 431) have an error body.

--- a/src/agent/Caller.ts
+++ b/src/agent/Caller.ts
@@ -1,6 +1,7 @@
 import { Pool } from "undici";
 import type { Clock } from "../common/Clock.js";
 import { FaultCode } from "../common/FaultCode.js";
+import { findJsonFault } from "../common/findJsonFault.js";
 import { Verdict } from "../common/Verdict.js";
 import type { MessageOf } from "../common/wire/MessageOf.js";
 import type { Outcome } from "../common/wire/Outcome.js";
@@ -93,6 +94,11 @@
     private succeeded(start: Start, body: string, begun: number): CallResult {
         const { task, attempt } = start;
         try {
+            const fault = findJsonFault(body);
+            if (fault !== undefined) {
+                const error = { code: FaultCode.EndpointFailed, message: `endpoint's output is not taken: ${fault}` };
+                return this.failed(start, { verdict: Verdict.Ran, error }, begun);
+            }
             const output: unknown = body === "" ? undefined : JSON.parse(body);
             const runMs = this.clock.now() - begun;
             return {
--- a/src/common/ticket/TicketCodec.ts
+++ b/src/common/ticket/TicketCodec.ts
@@ -34,6 +34,9 @@
             return Left(invalid(`ticket is longer than ${MAX_TICKET_CHARS} characters`));
         }
         const bytes = Buffer.from(text, "base64url");
+        if (bytes.toString("base64url") !== text) {
+            return Left(invalid("ticket is not in canonical base64url form"));
+        }
         const body = bytes.subarray(MAC_BYTES);
         if (body.length === 0 || !timingSafeEqual(this.mac(body), bytes.subarray(0, MAC_BYTES))) {
             return Left(invalid("ticket was not issued by this deployment"));
--- a/src/common/wire/Connection.ts
+++ b/src/common/wire/Connection.ts
@@ -21,9 +21,15 @@
 
 const HANDSHAKE_TIMEOUT_MS = 3000;
 
+/** Largest body of the first frame in bytes; a peer that has proved nothing yet gets no more memory than this. */
+const MAX_HELLO_BYTES = 4096;
+
+/** Time for the peer to close its side after an orderly close; then the socket is destroyed. */
+const CLOSE_TIMEOUT_MS = 2000;
+
 /** Task that owns one socket: frames, handshake and bounded send queue of a message channel. */
 export class Connection implements Channel {
-    private readonly codec = new FrameCodec();
+    private readonly codec = new FrameCodec(MAX_HELLO_BYTES);
     private readonly messages = new Emitter<Message>();
     private readonly closes = new Emitter<string>();
     private remote: Identity | undefined;
@@ -104,7 +110,7 @@
             return;
         }
         this.send({ kind: "goodbye", reason });
-        this.socket.end();
+        this.endSocket();
         this.finish(reason);
     }
 
@@ -155,6 +161,9 @@
     }
 
     private receive(chunk: Buffer, onHello: () => void): void {
+        if (this.closed) {
+            return;
+        }
         try {
             for (const value of this.codec.push(chunk)) {
                 this.accept(value, onHello);
@@ -179,10 +188,11 @@
         });
         if (this.remote === undefined) {
             this.acceptHello(message);
+            this.codec.acceptAll();
             onHello();
         }
         else if (message.kind === "goodbye") {
-            this.socket.end();
+            this.endSocket();
             this.finish(message.reason);
         }
         else {
@@ -226,6 +236,13 @@
         return createHmac("sha256", this.secret).update(text).digest("base64url");
     }
 
+    /** A peer that never closes its side would otherwise keep the socket open for good. */
+    private endSocket(): void {
+        this.socket.end();
+        const timer = setTimeout(() => this.socket.destroy(), CLOSE_TIMEOUT_MS);
+        this.socket.once("close", () => clearTimeout(timer));
+    }
+
     private finish(reason: string): void {
         if (this.closed) {
             return;
--- a/src/common/wire/FrameCodec.ts
+++ b/src/common/wire/FrameCodec.ts
@@ -1,17 +1,26 @@
 import { decode, encode } from "cbor-x";
 import { Fault } from "../Fault.js";
 import { FaultCode } from "../FaultCode.js";
+import { findBodyFault } from "./findBodyFault.js";
 
 const LENGTH_BYTES = 4;
 
 /** Largest body of a frame in bytes. */
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
+/** Received chunks are joined beyond this count, because each costs memory of its own however small it is. */
+const MAX_CHUNKS = 256;
+
 /** Splits a byte stream into frames (4-byte big-endian length, CBOR body) and encodes values as frames. */
 export class FrameCodec {
     private chunks: Buffer[] = [];
     private buffered = 0;
 
+    constructor(
+        /** Largest body that is accepted next, in bytes. */
+        private maxBodyBytes: number = MAX_FRAME_BYTES,
+    ) {}
+
     /** Returns `value` as one frame; throws a `too_large` fault when it exceeds the frame limit. */
     public static encode(value: unknown): Buffer {
         const body = encode(value);
@@ -24,15 +33,25 @@
         return frame;
     }
 
-    /** Takes received bytes and returns the values now complete; throws a `protocol` fault on malformed input. */
-    public push(chunk: Buffer): unknown[] {
+    /** Accepts bodies up to the frame limit from now on. */
+    public acceptAll(): void {
+        this.maxBodyBytes = MAX_FRAME_BYTES;
+    }
+
+    /** Takes received bytes and gives the values now complete; throws a `protocol` fault on malformed input. */
+    public *push(chunk: Buffer): Generator<unknown, void> {
+        this.append(chunk);
+        for (let body = this.takeBody(); body !== undefined; body = this.takeBody()) {
+            yield decodeBody(body);
+        }
+    }
+
+    private append(chunk: Buffer): void {
         this.chunks.push(chunk);
         this.buffered += chunk.length;
-        const values: unknown[] = [];
-        for (let body = this.takeBody(); body !== undefined; body = this.takeBody()) {
-            values.push(decodeBody(body));
+        if (this.chunks.length > MAX_CHUNKS) {
+            this.joined();
         }
-        return values;
     }
 
     private takeBody(): Buffer | undefined {
@@ -40,8 +59,8 @@
             return undefined;
         }
         const length = this.peekLength();
-        if (length > MAX_FRAME_BYTES) {
-            throw new Fault(FaultCode.Protocol, `frame of ${length} bytes exceeds ${MAX_FRAME_BYTES} bytes`);
+        if (length > this.maxBodyBytes) {
+            throw new Fault(FaultCode.Protocol, `frame of ${length} bytes exceeds ${this.maxBodyBytes} bytes`);
         }
         if (this.buffered < LENGTH_BYTES + length) {
             return undefined;
@@ -70,6 +89,10 @@
 }
 
 function decodeBody(body: Buffer): unknown {
+    const fault = findBodyFault(body);
+    if (fault !== undefined) {
+        throw new Fault(FaultCode.Protocol, `frame body is not a valid message: ${fault}`);
+    }
     try {
         return decode(body);
     }
--- a/src/common/wire/Listener.ts
+++ b/src/common/wire/Listener.ts
@@ -8,10 +8,14 @@
 import { Connection } from "./Connection.js";
 import type { Identity } from "./Identity.js";
 
+/** Most connections that may be in their handshake; a peer of the deployment completes it within milliseconds. */
+const MAX_PENDING_HANDSHAKES = 128;
+
 /** Accepts connections from other processes and completes their handshakes. */
 export class Listener implements Disposable {
     private readonly channels = new Emitter<Channel>();
     private readonly sockets = new Set<Socket>();
+    private handshakes = 0;
 
     /** Fires with each channel after its handshake. */
     public readonly onChannel = this.channels.event;
@@ -25,6 +29,10 @@
         maxConnections: number,
     ) {
         server.maxConnections = maxConnections;
+        server.on("drop", () => {
+            this.log.write(WireEvent.ConnectionRefused, { reason: `${maxConnections} connections are open` });
+            this.metrics?.increment("wire.refused");
+        });
         server.on("connection", socket => {
             this.accept(socket);
         });
@@ -71,13 +79,22 @@
     }
 
     private accept(socket: Socket): void {
+        if (this.handshakes >= MAX_PENDING_HANDSHAKES) {
+            this.log.write(WireEvent.ConnectionRefused, { reason: `${MAX_PENDING_HANDSHAKES} handshakes are pending` });
+            this.metrics?.increment("wire.refused");
+            socket.destroy();
+            return;
+        }
         this.sockets.add(socket);
         socket.once("close", () => this.sockets.delete(socket));
+        this.handshakes += 1;
         Connection.open(socket, this.identity(), this.secret, this.log, this.metrics).then(
             channel => {
+                this.handshakes -= 1;
                 this.channels.fire(channel);
             },
             (error: unknown) => {
+                this.handshakes -= 1;
                 this.log.write(WireEvent.HandshakeRejected, { reason: String(error) });
             },
         );
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -186,7 +186,7 @@
                 }),
             ],
         });
-        const http = await HttpServer.listen(app, this.settings.http);
+        const http = await HttpServer.listen(app, this.settings.http, this.runtime.log);
         this.sockets = { listener, http };
         await this.state.start();
         this.runtime.log.write(EntryEvent.Started, { http: http.port, wire: listener.port });
--- a/src/entry/EntryEvent.ts
+++ b/src/entry/EntryEvent.ts
@@ -34,5 +34,6 @@
     DrainEnded: { number: 1051, level: LogLevel.Info, text: "drain ended" },
     RequestRefused: { number: 1060, level: LogLevel.Info, text: "request refused" },
     RequestFailed: { number: 1061, level: LogLevel.Error, text: "request failed with an internal error" },
+    ConnectionRefused: { number: 1062, level: LogLevel.Warn, text: "caller connection refused, too many are open" },
     Started: { number: 1070, level: LogLevel.Info, text: "entry started" },
 } as const satisfies Record<string, LogEvent>;
--- a/src/entry/filters/checkInput.ts
+++ b/src/entry/filters/checkInput.ts
@@ -1,27 +1,18 @@
 import type { Context } from "hono";
 import * as z from "zod/mini";
 import { InputFault } from "./InputFault.js";
+import { parseJson } from "./parseJson.js";
 
 /** Reads the JSON body and checks it against `schema`; throws a fault that lists everything that is wrong. */
 export async function checkInput<T extends z.ZodMiniType>(context: Context, schema: T): Promise<z.infer<T>> {
     const text = await context.req.text();
-    const result = schema.safeParse(parse(text));
+    const result = schema.safeParse(parseJson(text));
     if (result.success) {
         return result.data;
     }
     throw new InputFault(result.error.issues.map(issue => ({ path: pathOf(issue.path), message: issue.message })));
 }
 
-function parse(text: string): unknown {
-    try {
-        return JSON.parse(text) as unknown;
-    }
-    catch (error) {
-        const message = `body is not valid JSON: ${error instanceof Error ? error.message : String(error)}`;
-        throw new InputFault([{ path: "(root)", message }]);
-    }
-}
-
 function pathOf(path: readonly PropertyKey[]): string {
     const text = path.map(part => typeof part === "number" ? `[${part}]` : `.${String(part)}`).join("");
     return text === "" ? "(root)" : text.replace(/^\./, "");
--- a/src/entry/routes/createApp.ts
+++ b/src/entry/routes/createApp.ts
@@ -6,6 +6,7 @@
 import type { EntrySettings } from "../../common/settings/EntrySettings.js";
 import { answerFault } from "../filters/answerFault.js";
 import { authenticate } from "../filters/authenticate.js";
+import { BodyBudget } from "../filters/BodyBudget.js";
 import type { HttpEnvironment } from "../filters/HttpEnvironment.js";
 import { limitBody } from "../filters/limitBody.js";
 import { limitTime } from "../filters/limitTime.js";
@@ -15,6 +16,9 @@
 /** Longest possible deadline of a job plus time to settle it. */
 const MAX_REQUEST_MS = 86_460_000;
 
+/** Bytes that the bodies of all requests may take together while they arrive. */
+const MAX_ARRIVING_BYTES = 64 * 1024 * 1024;
+
 interface Parts {
     readonly settings: Pick<EntrySettings, "maxBodyBytes">;
     readonly tokens: TokenIndex;
@@ -41,7 +45,7 @@
     });
     app.use("/v1/*", limitTime(parts.clock, MAX_REQUEST_MS));
     app.use("/v1/*", authenticate(parts.tokens));
-    app.use("/v1/*", limitBody(parts.settings.maxBodyBytes));
+    app.use("/v1/*", limitBody(parts.settings.maxBodyBytes, new BodyBudget(MAX_ARRIVING_BYTES)));
     app.use("/v1/tickets", refuseWhileDraining(parts.draining));
     for (const routes of parts.routes) {
         app.route("/v1", routes);
