Add start times to the endpoint stand-in's output only on request

Cause: an output field added for the load tool broke tests that compare whole outputs. Change: payload {timed: true} asks for it; the fuzz samples of start carry the digest.

--- a/src/bench/LoadClient.ts
+++ b/src/bench/LoadClient.ts
@@ -79,7 +79,7 @@
             deadlineMs,
             wait: true,
             tasks: job.tasks.map(task => ({
-                payload: { runMs: task.runMs },
+                payload: { runMs: task.runMs, timed: true },
                 sizeMs: task.declaredMs,
                 repeatable: task.repeatable,
             })),
--- a/src/endpoint/TaskPayload.ts
+++ b/src/endpoint/TaskPayload.ts
@@ -8,6 +8,8 @@
     value: z.optional(z.unknown()),
     /** True makes the task answer with status 500. */
     fail: z.optional(z.boolean()),
+    /** True adds the wall-clock start, in milliseconds since the Unix epoch, to the output. */
+    timed: z.optional(z.boolean()),
 });
 
 export type TaskPayload = z.infer<typeof TaskPayload>;
--- a/src/endpoint/TaskServer.ts
+++ b/src/endpoint/TaskServer.ts
@@ -94,7 +94,7 @@
         const cancel = silentDraw < silentShare ? () => undefined : clock.schedule(runMs, () => {
             log.write(EndpointEvent.TaskEnded, { name, runMs, fails });
             this.runningTasks.delete(name);
-            const output = { value: payload.value, runMs, startedAt };
+            const output = { value: payload.value, runMs, ...(payload.timed === true ? { startedAt } : {}) };
             sendJson(response, fails ? 500 : 200, fails ? { error: "task failed" } : output);
         });
         response.once("close", () => {
--- a/src/test/wireEdge.test.ts
+++ b/src/test/wireEdge.test.ts
@@ -65,6 +65,7 @@
         budgetMs: fc.double({ noNaN: true, noDefaultInfinity: true }),
         repeatable: fc.boolean(),
         queued: count,
+        digest: name,
     }),
     fc.record({ kind: fc.constant("outcome"), issuer: name, sequence: count, outcome, credit: fc.boolean() }),
     fc.record({ kind: fc.constantFrom("cancel", "revoke", "revoked"), ...key }),
