Fail a job honestly when its outputs cannot be answered

Cause: outputs of more than a frame together made the relayed reply fail with too_large and verdict not_run although every task had run. Change: answers carry at most 3 MiB of outputs, beyond which the job is failed with too_large and verdict ran; a reply that cannot be sent is may_have_run.

--- a/src/entry/controllers/PeerLink.ts
+++ b/src/entry/controllers/PeerLink.ts
@@ -102,7 +102,7 @@
         }
         this.serving += 1;
         try {
-            this.send({ kind: "reply", id: call.id, body: await handle() });
+            this.reply(call.id, await handle());
         }
         catch (error) {
             this.refuse(call.id, toFault(error));
@@ -112,6 +112,17 @@
         }
     }
 
+    /** A call whose reply cannot be sent was handled all the same, so the fault must not say that it was not run. */
+    private reply(id: number, body: unknown): void {
+        try {
+            this.send({ kind: "reply", id, body });
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            throw new Fault(FaultCode.TooLarge, `the reply cannot be sent: ${message}`, Verdict.MayHaveRun);
+        }
+    }
+
     public dispose(): void {
         this.channel.dispose();
         this.finish("disposed");
--- a/src/entry/controllers/buildAnswer.ts
+++ b/src/entry/controllers/buildAnswer.ts
@@ -1,17 +1,26 @@
+import { FaultCode } from "../../common/FaultCode.js";
 import type { Answer } from "../../common/job/Answer.js";
 import { JobState } from "../../common/job/JobState.js";
 import type { TaskAnswer } from "../../common/job/TaskAnswer.js";
 import { Verdict } from "../../common/Verdict.js";
 import type { TaskResult } from "./TaskResult.js";
 
-/** Builds the final answer: complete with every output when every task is ok, otherwise failed without any output. */
+/** Most bytes of all outputs of a job as JSON text; a relayed answer must fit into one frame of 4 MiB. */
+const MAX_OUTPUT_BYTES = 3 * 1024 * 1024;
+
+/**
+ * Builds the final answer: complete with every output when every task is ok and the outputs together are within the
+ * bound, otherwise failed without any output.
+ */
 export function buildAnswer(
     ticket: string,
     results: readonly (readonly [index: number, result: TaskResult])[],
     reason: Answer["reason"],
 ): Answer {
-    const complete = reason === undefined && results.every(([, result]) => result.ok);
-    const firstError = results.find(([, result]) => !result.ok)?.[1].error;
+    const succeeded = reason === undefined && results.every(([, result]) => result.ok);
+    const outputBytes = succeeded ? sizeOf(results) : 0;
+    const complete = succeeded && outputBytes <= MAX_OUTPUT_BYTES;
+    const firstError = succeeded ? tooLarge(outputBytes) : results.find(([, result]) => !result.ok)?.[1].error;
     return {
         ticket,
         state: complete ? JobState.Complete : JobState.Failed,
@@ -21,6 +30,17 @@
     };
 }
 
+function sizeOf(results: readonly (readonly [index: number, result: TaskResult])[]): number {
+    return results.reduce((bytes, [, { output }]) => {
+        return bytes + (output === undefined ? 0 : Buffer.byteLength(JSON.stringify(output)));
+    }, 0);
+}
+
+function tooLarge(bytes: number): Answer["reason"] {
+    const message = `the outputs of the job are ${bytes} bytes, at most ${MAX_OUTPUT_BYTES} bytes are answered`;
+    return { code: FaultCode.TooLarge, message };
+}
+
 function toTaskAnswer(index: number, result: TaskResult, complete: boolean): TaskAnswer {
     return complete
         ? { index, verdict: result.verdict, output: result.output }
