--- a/src/bench/Report.ts
+++ b/src/bench/Report.ts
@@ -29,6 +29,8 @@
         /** Tasks that failed at the faulty worker after its first ten. */
         readonly lostToFault: number | undefined;
     };
+    /** Time from the injected fault to the arrival of the last job that was not completed; 0 when all were. */
+    readonly disturbedMs: number | undefined;
     readonly classes: readonly ClassReport[];
     /** Wait of short single-task jobs: response less run time. */
     readonly shortWait: Distribution;
--- a/src/bench/createReport.ts
+++ b/src/bench/createReport.ts
@@ -1,5 +1,6 @@
 import { Verdict } from "../common/Verdict.js";
 import { idealResponses } from "./idealResponses.js";
+import { Injection } from "./Injection.js";
 import { JobClass } from "./JobClass.js";
 import { JobOutcome } from "./JobOutcome.js";
 import type { JobResult } from "./JobResult.js";
@@ -29,6 +30,7 @@
         jobs: countJobs(run.results),
         codes: countCodes(run.results),
         tasks: countTasks(run),
+        disturbedMs: disturbedMs(run),
         classes: reportClasses(counted, ideal),
         shortWait: summarize(counted.filter(isCompleteShort).map(waitOf)),
         messages: reportMessages(run),
@@ -73,6 +75,16 @@
     };
 }
 
+function disturbedMs({ scenario, results }: LoadRun): number | undefined {
+    if (scenario.injection === Injection.None) {
+        return undefined;
+    }
+    const disturbed = results
+        .filter(result => result.outcome !== JobOutcome.Complete && result.job.at >= scenario.injectAtMs)
+        .map(result => result.job.at - scenario.injectAtMs);
+    return Math.max(0, ...disturbed);
+}
+
 function isCompleteShort(result: JobResult): boolean {
     return result.outcome === JobOutcome.Complete && result.job.jobClass === JobClass.ShortSingle;
 }
--- a/src/bench/formatReport.ts
+++ b/src/bench/formatReport.ts
@@ -30,6 +30,9 @@
                 + crest.teams.map(team => `${team.team} ${team.shareOfFair.toFixed(2)}`).join(", "),
         );
     }
+    if (report.disturbedMs !== undefined) {
+        lines.push(`last job not completed arrived ${ms(report.disturbedMs)} ms after the fault`);
+    }
     lines.push(
         `load tool: lag p99 ${ms(report.lag.p99)} ms${report.toolWasLimit ? " (the tool was the limit)" : ""}`,
         "",
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -25,7 +25,10 @@
 const LOOK_MS = 250;
 
 const MISSED_HEARTBEATS = 3;
-const PROBE_INTERVAL_MS = 1000;
+const MIN_PROBE_INTERVAL_MS = 1000;
+
+/** Probes of an agent that moved to another home go on until the limit, so their interval doubles up to this. */
+const MAX_PROBE_INTERVAL_MS = 30_000;
 
 /** Time for an agent to attach; agents that only look for entries close their connections within a few seconds. */
 const ATTACH_LIMIT_MS = 10_000;
@@ -258,7 +261,8 @@
                     this.reportLost(session);
                 }
                 else {
-                    this.scheduleProbe(session, PROBE_INTERVAL_MS, until);
+                    const nextMs = Math.min(MAX_PROBE_INTERVAL_MS, Math.max(MIN_PROBE_INTERVAL_MS, 2 * delayMs));
+                    this.scheduleProbe(session, nextMs, until);
                 }
             });
         });
