--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -20,7 +20,11 @@
 
 const HEARTBEAT_MS = 1000;
 const MISSED_HEARTBEATS = 3;
-const PROBE_INTERVAL_MS = 1000;
+/** Time from the first probe of a lost agent to the second; it doubles with each further probe. */
+const FIRST_PROBE_INTERVAL_MS = 1000;
+
+/** One probe a second for every agent that moved to another home was 9 connections per agent in 9 s at rest. */
+const MAX_PROBE_INTERVAL_MS = 10_000;
 
 /** Time for an agent to attach; agents that only look for entries close their connections within a few seconds. */
 const ATTACH_LIMIT_MS = 10_000;
@@ -250,7 +254,8 @@
                     this.reportLost(session);
                 }
                 else {
-                    this.scheduleProbe(session, PROBE_INTERVAL_MS, until);
+                    const nextMs = Math.max(FIRST_PROBE_INTERVAL_MS, Math.min(MAX_PROBE_INTERVAL_MS, 2 * delayMs));
+                    this.scheduleProbe(session, nextMs, until);
                 }
             });
         });
--- a/src/test/Deployment.ts
+++ b/src/test/Deployment.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Agent } from "../agent/Agent.js";
+import { FaultCode } from "../common/FaultCode.js";
 import type { Answer } from "../common/job/Answer.js";
 import { SilentLog } from "../common/log/SilentLog.js";
 import { NoMetrics } from "../common/NoMetrics.js";
@@ -12,6 +13,7 @@
 import { SystemClock } from "../common/SystemClock.js";
 import type { Ticket } from "../common/ticket/Ticket.js";
 import { TicketCodec } from "../common/ticket/TicketCodec.js";
+import { Verdict } from "../common/Verdict.js";
 import { Endpoint } from "../endpoint/Endpoint.js";
 import { Entry } from "../entry/Entry.js";
 import { EntryEvent } from "../entry/EntryEvent.js";
@@ -25,6 +27,7 @@
 const SECRET = "a secret of the deployment";
 const TOKEN = "token of the tour team";
 const TEAM = "tour";
+const BALANCER = "balancer";
 
 /** Heartbeats and time limits of entries and agents run this many times faster than real time. */
 const CLOCK_FACTOR = 3;
@@ -56,6 +59,8 @@
 /** Entries, agents and endpoints in one process whose connections to each other pass through links. */
 export class Deployment {
     public readonly service = TEAM;
+    /** Seconds of the clock of entries and agents in one second. */
+    public readonly clockFactor = CLOCK_FACTOR;
     public readonly rules = new LinkRules();
     public readonly entries = new Map<string, Entry>();
     public readonly agents = new Map<string, Agent>();
@@ -65,14 +70,21 @@
 
     private constructor(public readonly platform: Platform) {}
 
-    /** Starts the platform, entries and agents by name, registers the service and waits until every agent is attached. */
-    public static async start(entries: readonly string[], agents: readonly string[], slots = 4): Promise<Deployment> {
+    /** Starts the platform alone. */
+    public static async create(): Promise<Deployment> {
         const runtime = runtimeOf("platform", new SystemClock());
         const deployment = new Deployment(await Platform.start({ http: FREE, writeDelayMs: 0 }, runtime));
+        await deployment.link(BALANCER);
+        return deployment;
+    }
+
+    /** Starts the platform, entries and agents by name, registers the service and waits until every agent is attached. */
+    public static async start(entries: readonly string[], agents: readonly string[], slots = 4): Promise<Deployment> {
+        const deployment = await Deployment.create();
         for (const id of entries) {
             await deployment.startEntry(id);
         }
-        await deployment.registerService();
+        assert.equal((await deployment.put(entries[0] ?? "", 0)).status, 200);
         for (const id of agents) {
             await deployment.startAgent(id, slots);
         }
@@ -118,6 +130,7 @@
         });
         const entry = await Entry.start(settings, runtimeOf(id, this.clock));
         link.targetPort = entry.wirePort;
+        this.balance(entry.wirePort);
         this.entries.set(id, entry);
         return entry;
     }
@@ -133,7 +146,7 @@
             advertise: link.address,
             announce: FREE,
             secret: SECRET,
-            entries: this.seeds(id),
+            entries: this.seeds(id, BALANCER),
             ...more,
         });
         const agent = await Agent.start(settings, runtimeOf(id, this.clock));
@@ -157,6 +170,8 @@
         await this.agents.get(id)?.dispose();
         this.entries.delete(id);
         this.agents.delete(id);
+        const [first] = this.entries.values();
+        this.balance(first?.wirePort ?? 0);
     }
 
     /** Waits until the entries know each other and `agents` agents are attached to them. */
@@ -196,11 +211,16 @@
         return new Set(placed.flatMap(step => step.task ?? []));
     }
 
+    /** Gets a ticket; asks again while no entry with agents is known, which is refused with verdict not_run. */
     public async ticket(entry: string): Promise<string> {
-        const { body } = await this.call(entry, "POST", "/v1/tickets", { service: TEAM, count: 1 });
-        const [ticket] = body.tickets;
-        assert.ok(ticket !== undefined);
-        return ticket;
+        let ticket: string | undefined;
+        await Deployment.until(`a ticket of ${entry}`, async () => {
+            const { status, body } = await this.call(entry, "POST", "/v1/tickets", { service: TEAM, count: 1 });
+            assert.ok(status === 200 || status === 503 && body.verdict === "not_run", JSON.stringify(body));
+            ticket = status === 200 ? body.tickets[0] : undefined;
+            return ticket !== undefined;
+        });
+        return ticket ?? "";
     }
 
     /** Submits a job whose tasks run for `runMs` and answer their `value`; waits for the answer unless told not to. */
@@ -217,6 +237,20 @@
         return this.call(entry, "POST", "/v1/jobs", whole, {}, signal);
     }
 
+    /** Submits until the job is not refused for overload; such a refusal says that nothing was run. */
+    public async submitUntilTaken(...job: Parameters<Deployment["submit"]>): Promise<Reply> {
+        let reply = await this.submit(...job);
+        await Deployment.until("admission of the job", async () => {
+            if (reply.body.error?.code !== FaultCode.Overloaded) {
+                return true;
+            }
+            assert.equal(reply.body.verdict, Verdict.NotRun);
+            reply = await this.submit(...job);
+            return false;
+        });
+        return reply;
+    }
+
     public async call(
         entry: string,
         method: string,
@@ -234,6 +268,22 @@
         return { status: response.status, body: await response.json() as Reply["body"] };
     }
 
+    /** Writes the section of the team through an entry, against the revision `base`; 0 creates it. */
+    public put(entry: string, base: number, maxQueuedTasks = 20_000): Promise<Reply> {
+        const section = { team: TEAM, services: { [TEAM]: { maxQueuedTasks } } };
+        const headers = base === 0 ? { "if-none-match": "*" } : { "if-match": `"${base}"` };
+        return this.call(entry, "PUT", `/v1/config/sections/${TEAM}`, section, headers);
+    }
+
+    /** Revisions in force at the entry itself, and at the agents attached to it. */
+    public async revisions(entry: string): Promise<readonly number[]> {
+        const { body } = await this.call(entry, "GET", "/v1/config");
+        const status = (await this.call(entry, "GET", "/v1/config/status")).body as unknown as {
+            agents: readonly { readonly revision: number; }[];
+        };
+        return [body.revision, ...status.agents.map(agent => agent.revision)];
+    }
+
     /** Changes the faults of the platform's store. */
     public async setStore(plan: object): Promise<void> {
         const url = `http://${HOST}:${this.platform.port}/v1/faults`;
@@ -250,24 +300,24 @@
         }
     }
 
-    private async registerService(): Promise<void> {
-        const [first] = this.entries.keys();
-        const section = { team: TEAM, services: { [TEAM]: {} } };
-        const path = `/v1/config/sections/${TEAM}`;
-        const { status } = await this.call(first ?? "", "PUT", path, section, { "if-none-match": "*" });
-        assert.equal(status, 200);
-    }
-
     private async link(id: string): Promise<Link> {
         const link = await Link.start(id, this.rules);
         this.links.set(id, link);
         return link;
     }
 
-    private seeds(id: string): string[] {
-        return [...this.entries.keys()].filter(entry => entry !== id).flatMap(entry =>
-            this.links.get(entry)?.address ?? []
-        );
+    /** Points the load balancer's address at one entry. */
+    private balance(port: number): void {
+        const link = this.links.get(BALANCER);
+        if (link !== undefined) {
+            link.targetPort = port;
+        }
+    }
+
+    /** Addresses of the entries that run; agents know the load balancer as well. */
+    private seeds(id: string, ...more: readonly string[]): string[] {
+        const entries = [...this.entries.keys()].filter(entry => entry !== id);
+        return [...entries, ...more].flatMap(name => this.links.get(name)?.address ?? []);
     }
 }
 
--- a/src/test/faultsCallers.test.ts
+++ b/src/test/faultsCallers.test.ts
@@ -18,20 +18,6 @@
         }
     }
 
-    /** Submits again, under the same ticket, what was refused for overload. */
-    async function submitUntilTaken(
-        ...[entry, ticket, tasks]: Parameters<typeof deployment.submit>
-    ): ReturnType<typeof deployment.submit> {
-        for (;;) {
-            const reply = await deployment.submit(entry, ticket, tasks);
-            if (reply.body.error?.code !== "overloaded") {
-                return reply;
-            }
-            assert.equal(reply.body.verdict, "not_run");
-            await new Promise(resolve => setTimeout(resolve, 50));
-        }
-    }
-
     describe("late answers and answers out of order", () => {
         for (const seed of [1, 2]) {
             it(`guards against an output in another caller's answer, seed ${seed}`, async () => {
@@ -46,7 +32,10 @@
                     const tasks = Array.from({ length: 1 + job % 6 }, (_, task) => {
                         return { runMs: Math.floor(random.next() * 60), value: `${job}/${task}` };
                     });
-                    const twice = [submitUntilTaken(entry, ticket, tasks), submitUntilTaken("e1", ticket, tasks)];
+                    const twice = [
+                        deployment.submitUntilTaken(entry, ticket, tasks),
+                        deployment.submitUntilTaken("e1", ticket, tasks),
+                    ];
                     for (const { body } of await Promise.all(twice)) {
                         assert.equal(body.state, "complete", JSON.stringify(body));
                         const outputs = body.tasks.map(task => (task.output as { value: unknown; }).value);
