Halve the time by which teams' service may differ and by which an idle team may claim

Cause: a team that was idle claimed 1.5 s of its share at once, and others' short and medium tasks waited for it; a slack of 1.5 s is 15% of a team's share of a peak of 10 s. Change: both are 750 ms; the slack of short tasks stays 6 s.

--- a/src/entry/policy/FairChoice.ts
+++ b/src/entry/policy/FairChoice.ts
@@ -5,11 +5,11 @@
 import type { TaskGroups } from "./TaskGroups.js";
 
 /** Teams whose service differs by less than their share of this time count as equally served. */
-const FAIR_SLACK_MS = 1500;
+const FAIR_SLACK_MS = 750;
 /** Short tasks cost little service, so that a larger difference is made up for soon. */
-const SHORT_SLACK_FACTOR = 4;
+const SHORT_SLACK_FACTOR = 8;
 /** A team that was idle may claim its share of this time. */
-const FAIR_CLAIM_MS = 1500;
+const FAIR_CLAIM_MS = 750;
 
 /** Chooses the next task between teams by their fair share, and within the chosen teams by the order of their jobs. */
 export class FairChoice {
