--- a/src/entry/policy/Agents.ts
+++ b/src/entry/policy/Agents.ts
@@ -1,12 +1,11 @@
 import type { AgentEntry } from "./AgentEntry.js";
 import type { AgentProfile } from "./AgentProfile.js";
 import type { Health } from "./Health.js";
-import type { TaskGroup } from "./TaskGroup.js";
 
-/** Agents of the service with their credits. A ticket names at most 64 agents, so scans over a group are short. */
+/** Agents of the service with their credits. Those without unused credits are not visited to place a task. */
 export class Agents {
     private readonly agents = new Map<string, AgentEntry>();
-    private members = new WeakMap<TaskGroup, readonly AgentEntry[]>();
+    private readonly withCredits = new Set<AgentEntry>();
     private credits = 0;
 
     constructor(private readonly health: Health) {}
@@ -28,7 +27,6 @@
         this.remove(profile.id);
         const agent = { profile, credits: 0, running: 0, draining: false, refusals: 0, restsUntil: 0 };
         this.agents.set(profile.id, agent);
-        this.members = new WeakMap();
         this.health.add(profile.id);
     }
 
@@ -37,7 +35,7 @@
         if (agent !== undefined) {
             this.credits -= agent.credits;
             this.agents.delete(id);
-            this.members = new WeakMap();
+            this.withCredits.delete(agent);
             this.health.remove(id);
         }
     }
@@ -47,15 +45,17 @@
         const credits = Math.max(0, agent.credits + delta);
         this.credits += credits - agent.credits;
         agent.credits = credits;
+        if (credits > 0 && this.agents.get(agent.profile.id) === agent) {
+            this.withCredits.add(agent);
+        }
+        else {
+            this.withCredits.delete(agent);
+        }
     }
 
-    /** Agents of the group that may take a task now. */
-    public candidates(group: TaskGroup, now: number): AgentEntry[] {
-        return this.membersOf(group).filter(agent => this.accepts(agent, now));
-    }
-
-    public hasCandidate(group: TaskGroup, now: number): boolean {
-        return this.membersOf(group).some(agent => this.accepts(agent, now));
+    /** Agents that may take a task now. */
+    public accepting(now: number): AgentEntry[] {
+        return [...this.withCredits].filter(agent => this.accepts(agent, now));
     }
 
     /** Slots of agents that are neither draining nor ejected, and how many of the named agents are among them. */
@@ -74,8 +74,8 @@
     /** Earliest time after `now` at which an agent with credits becomes usable again; Infinity for never. */
     public nextUsableAt(now: number): number {
         let earliest = Infinity;
-        for (const agent of this.agents.values()) {
-            if (agent.credits > 0 && !agent.draining) {
+        for (const agent of this.withCredits) {
+            if (!agent.draining) {
                 const probeAt = this.health.probeAt(agent.profile.id) ?? 0;
                 const at = Math.max(agent.restsUntil, probeAt);
                 earliest = at > now ? Math.min(earliest, at) : earliest;
@@ -89,13 +89,4 @@
         return agent.credits > 0 && !agent.draining && agent.restsUntil <= now
             && this.health.accepts(id, agent.running, slots, now);
     }
-
-    private membersOf(group: TaskGroup): readonly AgentEntry[] {
-        let members = this.members.get(group);
-        if (members === undefined) {
-            members = [...this.agents.values()].filter(agent => group.agents.has(agent.profile.id));
-            this.members.set(group, members);
-        }
-        return members;
-    }
 }
--- a/src/entry/policy/EarlyBindingScheduler.test.ts
+++ b/src/entry/policy/EarlyBindingScheduler.test.ts
@@ -56,6 +56,7 @@
             assert.deepEqual(scheduler.withdraw("j", 5), [5]);
             assert.equal(scheduler.expire(1000).length, TASKS - 1);
             assert.equal(scheduler.queued, 0);
+            assert.equal(scheduler.openJobs, 0, "agents of ended jobs are kept");
         });
 
         it("refuses a job beyond the bound of the queue or without agents", () => {
--- a/src/entry/policy/EarlyBindingScheduler.ts
+++ b/src/entry/policy/EarlyBindingScheduler.ts
@@ -5,6 +5,7 @@
 import type { AttemptReport } from "./AttemptReport.js";
 import { CreditTable } from "./CreditTable.js";
 import { Disposition } from "./Disposition.js";
+import { EligibleAgents } from "./EligibleAgents.js";
 import { OpenAttempts } from "./OpenAttempts.js";
 import { overflow } from "./overflow.js";
 import type { QueuedTask } from "./QueuedTask.js";
@@ -18,12 +19,17 @@
 /** For comparisons: each task is committed at admission to one agent's queue, first in, first out. */
 export abstract class EarlyBindingScheduler implements Scheduler {
     private readonly agents = new CreditTable();
-    private readonly eligible = new Map<string, ReadonlySet<string>>();
+    private readonly eligible = new EligibleAgents();
     private readonly attempts = new OpenAttempts();
     private readonly queues = new Map<string, QueuedTask[]>();
     private queuedTasks = 0;
     private limits: SchedulerLimits | undefined;
 
+    /** Jobs whose agents are kept. */
+    public get openJobs(): number {
+        return this.eligible.size;
+    }
+
     public get queued(): number {
         return this.queuedTasks;
     }
@@ -67,7 +73,7 @@
         if (![...job.agents].some(id => this.agents.accepts(id))) {
             return new Fault(FaultCode.NoAgents, "no agent of the ticket accepts work");
         }
-        this.eligible.set(job.job, job.agents);
+        this.eligible.add(job);
         job.tasks.forEach(task => this.bind(task));
         return undefined;
     }
@@ -91,8 +97,12 @@
     }
 
     public report(report: AttemptReport, now: number): Disposition {
+        const isOpen = this.attempts.has(report);
         const again = this.attempts.close(report, now);
         if (again === undefined) {
+            if (isOpen) {
+                this.eligible.endTask(report.job);
+            }
             return Disposition.Final;
         }
         this.bind(again);
@@ -141,6 +151,7 @@
             this.queues.set(agent, queue.filter(task => !matches(task)));
         }
         this.queuedTasks -= removed.length;
+        removed.forEach(task => this.eligible.endTask(task.job));
         return removed;
     }
 }
--- a/src/entry/policy/FairChoice.ts
+++ b/src/entry/policy/FairChoice.ts
@@ -25,8 +25,15 @@
         classes: readonly SizeClass[],
         tagPerMs: number,
     ): TaskEntry | undefined {
-        const groups = [...this.groups.all()].filter(group => hasWork(group, classes) && usable(group));
-        const smallest = Math.min(...groups.map(group => smallestTag(group, classes)));
+        const groups: TaskGroup[] = [];
+        let smallest = Infinity;
+        for (const group of this.groups.all()) {
+            const tag = smallestTag(group, classes);
+            if (tag < Infinity && usable(group)) {
+                groups.push(group);
+                smallest = Math.min(smallest, tag);
+            }
+        }
         if (smallest === Infinity) {
             return undefined;
         }
@@ -49,10 +56,10 @@
     return sizeClass === SizeClass.Short ? slack * SHORT_SLACK_FACTOR : slack;
 }
 
-function hasWork(group: TaskGroup, classes: readonly SizeClass[]): boolean {
-    return smallestTag(group, classes) < Infinity;
-}
-
 function smallestTag(group: TaskGroup, classes: readonly SizeClass[]): number {
-    return Math.min(...classes.map(sizeClass => group.lanes[sizeClass]?.smallestTag ?? Infinity));
+    let smallest = Infinity;
+    for (const sizeClass of classes) {
+        smallest = Math.min(smallest, group.lanes[sizeClass]?.smallestTag ?? Infinity);
+    }
+    return smallest;
 }
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -110,14 +110,15 @@
         }
         const slots = this.agents.free + this.runningTasks.size;
         this.backlog.setSlots(slots);
+        const accepting = this.agents.accepting(now);
         const reserved = this.limits?.reservedShare ?? 0;
         const { placement } = this.policies;
         const entry = this.backlog.next(
-            group => this.agents.hasCandidate(group, now),
+            group => accepting.some(agent => group.agents.has(agent.profile.id)),
             sizeClass => placement.allows(sizeClass, this.runningTasks.byClass, slots, reserved),
             slots,
         );
-        return entry === undefined ? undefined : this.start(entry, now);
+        return entry === undefined ? undefined : this.start(entry, accepting, now);
     }
 
     public report(report: AttemptReport, now: number): Disposition {
@@ -172,9 +173,9 @@
         return { agents, teams };
     }
 
-    private start(first: TaskEntry, now: number): Assignment | undefined {
+    private start(first: TaskEntry, accepting: readonly AgentEntry[], now: number): Assignment | undefined {
         const { health, placement, retry, sizes, speed } = this.policies;
-        const candidates = this.agents.candidates(first.job.group, now);
+        const candidates = accepting.filter(agent => first.job.group.agents.has(agent.profile.id));
         const probe = candidates.find(candidate => health.probeDue(candidate.profile.id, now));
         const agent = probe ?? placement.pick(candidates, first.agent?.profile.id);
         if (agent === undefined) {
--- a/src/entry/policy/FifoScheduler.ts
+++ b/src/entry/policy/FifoScheduler.ts
@@ -4,6 +4,7 @@
 import type { AttemptReport } from "./AttemptReport.js";
 import { CreditTable } from "./CreditTable.js";
 import { Disposition } from "./Disposition.js";
+import { EligibleAgents } from "./EligibleAgents.js";
 import { OpenAttempts } from "./OpenAttempts.js";
 import { overflow } from "./overflow.js";
 import type { QueuedTask } from "./QueuedTask.js";
@@ -14,11 +15,16 @@
 /** Baseline for comparisons: first in, first out, on the first agent with a free slot, retrying only what was not run. */
 export class FifoScheduler implements Scheduler {
     private readonly agents = new CreditTable();
-    private readonly eligible = new Map<string, ReadonlySet<string>>();
+    private readonly eligible = new EligibleAgents();
     private readonly attempts = new OpenAttempts();
     private queue: QueuedTask[] = [];
     private limits: SchedulerLimits | undefined;
 
+    /** Jobs whose agents are kept. */
+    public get openJobs(): number {
+        return this.eligible.size;
+    }
+
     public get queued(): number {
         return this.queue.length;
     }
@@ -54,7 +60,7 @@
     public admit(job: ScheduledJob): Fault | undefined {
         const refusal = overflow(this.queue.length, job, this.limits);
         if (refusal === undefined) {
-            this.eligible.set(job.job, job.agents);
+            this.eligible.add(job);
             this.queue.push(...job.tasks);
         }
         return refusal;
@@ -64,6 +70,7 @@
         const matches = (queued: QueuedTask) => queued.job === job && (task === undefined || queued.task === task);
         const withdrawn = this.queue.filter(matches);
         this.queue = this.queue.filter(queued => !matches(queued));
+        withdrawn.forEach(queued => this.eligible.endTask(queued.job));
         return withdrawn.map(queued => queued.task);
     }
 
@@ -85,8 +92,12 @@
     }
 
     public report(report: AttemptReport, now: number): Disposition {
+        const isOpen = this.attempts.has(report);
         const again = this.attempts.close(report, now);
         if (again === undefined) {
+            if (isOpen) {
+                this.eligible.endTask(report.job);
+            }
             return Disposition.Final;
         }
         this.queue.push(again);
@@ -96,6 +107,7 @@
     public expire(now: number): readonly QueuedTask[] {
         const expired = this.queue.filter(task => task.deadlineAt <= now);
         this.queue = this.queue.filter(task => task.deadlineAt > now);
+        expired.forEach(task => this.eligible.endTask(task.job));
         return expired;
     }
 
--- a/src/entry/policy/OpenAttempts.ts
+++ b/src/entry/policy/OpenAttempts.ts
@@ -15,6 +15,10 @@
         this.attempts.set(attemptKey(task), task);
     }
 
+    public has(report: AttemptReport): boolean {
+        return this.attempts.has(attemptKey(report));
+    }
+
     /** Ends an attempt and returns the task to queue again, if any. */
     public close(report: AttemptReport, now: number): QueuedTask | undefined {
         const key = attemptKey(report);
--- a/src/entry/policy/TaskGroups.ts
+++ b/src/entry/policy/TaskGroups.ts
@@ -8,10 +8,11 @@
  * grows with changes of the agent set within the life of a ticket, not with the number of jobs.
  */
 export class TaskGroups {
-    private readonly groups = new Set<TaskGroup>();
+    private readonly groups = new Map<string, TaskGroup>();
 
     public enter(agents: ReadonlySet<string>): TaskGroup {
-        const group = this.find(agents) ?? this.create(agents);
+        const key = keyOf(agents);
+        const group = this.groups.get(key) ?? this.create(key, agents);
         group.jobs += 1;
         return group;
     }
@@ -19,39 +20,22 @@
     public leave(group: TaskGroup): void {
         group.jobs -= 1;
         if (group.jobs === 0) {
-            this.groups.delete(group);
+            this.groups.delete(group.key);
         }
     }
 
     public all(): Iterable<TaskGroup> {
-        return this.groups;
+        return this.groups.values();
     }
 
-    private find(agents: ReadonlySet<string>): TaskGroup | undefined {
-        for (const group of this.groups) {
-            if (group.agents === agents || sameSet(group.agents, agents)) {
-                return group;
-            }
-        }
-        return undefined;
-    }
-
-    private create(agents: ReadonlySet<string>): TaskGroup {
+    private create(key: string, agents: ReadonlySet<string>): TaskGroup {
         const lanes = Array.from({ length: SIZE_CLASSES }, () => new TeamLanes());
-        const group: TaskGroup = { agents: new Set(agents), lanes, jobs: 0 };
-        this.groups.add(group);
+        const group: TaskGroup = { key, agents: new Set(agents), lanes, jobs: 0 };
+        this.groups.set(key, group);
         return group;
     }
 }
 
-function sameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
-    if (a.size !== b.size) {
-        return false;
-    }
-    for (const item of a) {
-        if (!b.has(item)) {
-            return false;
-        }
-    }
-    return true;
+function keyOf(agents: ReadonlySet<string>): string {
+    return JSON.stringify([...agents].sort());
 }
--- a/src/entry/policy/trial/makeJobs.ts
+++ b/src/entry/policy/trial/makeJobs.ts
@@ -1,4 +1,6 @@
 import type { Random } from "../../../common/Random.js";
+import type { JobKind } from "./JobKind.js";
+import type { OfferedWork } from "./OfferedWork.js";
 import type { TrialJob } from "./TrialJob.js";
 
 const STRAGGLER_SHARE = 0.002;
@@ -6,18 +8,6 @@
 const UNDECLARED_SHARE = 0.1;
 const WRONG_SHARE = 0.03;
 
-/** Kind of job in a trial: its task count and run times are drawn log-uniformly between the bounds. */
-export interface JobKind {
-    readonly team: string;
-    /** Relative frequency. */
-    readonly weight: number;
-    readonly tasks: readonly [number, number];
-    readonly runMs: readonly [number, number];
-}
-
-/** Offered work at a time, in milliseconds of work per millisecond. */
-export type OfferedWork = (at: number) => number;
-
 /** Draws jobs with Poisson arrivals until `untilMs`. */
 export function makeJobs(
     random: Random,
