--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -196,7 +196,8 @@
         if (entry.task.attempt === 1) {
             retry.started();
         }
-        const reason = probe === undefined ? `fastest of ${candidates.length} free` : "probe of ejected agent";
+        const fastest = `fastest of ${candidates.length} free${isSlow ? ", slow: smallest task of the job" : ""}`;
+        const reason = probe === undefined ? fastest : "probe of ejected agent";
         return { task: entry.task, agent: agent.profile.id, reason };
     }
 
