--- a/src/entry/policy/FairChoice.ts
+++ b/src/entry/policy/FairChoice.ts
@@ -5,11 +5,11 @@
 import type { TaskGroups } from "./TaskGroups.js";
 
 /** Teams whose service differs by less than their share of this time count as equally served. */
-const FAIR_SLACK_MS = 1500;
+const FAIR_SLACK_MS = 750;
 /** Short tasks cost little service, so that a larger difference is made up for soon. */
-const SHORT_SLACK_FACTOR = 4;
+const SHORT_SLACK_FACTOR = 8;
 /** A team that was idle may claim its share of this time. */
-const FAIR_CLAIM_MS = 1500;
+const FAIR_CLAIM_MS = 750;
 
 /** Chooses the next task between teams by their fair share, and within the chosen teams by the order of their jobs. */
 export class FairChoice {
@@ -25,8 +25,15 @@
         classes: readonly SizeClass[],
         tagPerMs: number,
     ): TaskEntry | undefined {
-        const groups = [...this.groups.all()].filter(group => hasWork(group, classes) && usable(group));
-        const smallest = Math.min(...groups.map(group => smallestTag(group, classes)));
+        const groups: TaskGroup[] = [];
+        let smallest = Infinity;
+        for (const group of this.groups.all()) {
+            const tag = smallestTag(group, classes);
+            if (tag < Infinity && usable(group)) {
+                groups.push(group);
+                smallest = Math.min(smallest, tag);
+            }
+        }
         if (smallest === Infinity) {
             return undefined;
         }
@@ -49,10 +56,10 @@
     return sizeClass === SizeClass.Short ? slack * SHORT_SLACK_FACTOR : slack;
 }
 
-function hasWork(group: TaskGroup, classes: readonly SizeClass[]): boolean {
-    return smallestTag(group, classes) < Infinity;
-}
-
 function smallestTag(group: TaskGroup, classes: readonly SizeClass[]): number {
-    return Math.min(...classes.map(sizeClass => group.lanes[sizeClass]?.smallestTag ?? Infinity));
+    let smallest = Infinity;
+    for (const sizeClass of classes) {
+        smallest = Math.min(smallest, group.lanes[sizeClass]?.smallestTag ?? Infinity);
+    }
+    return smallest;
 }
