--- a/src/cli/AnswerBody.ts
+++ b/src/cli/AnswerBody.ts
@@ -9,6 +9,7 @@
     state: z.enum(["running", "complete", "failed"]),
     verdict,
     reason,
+    progress: z.optional(z.object({ ended: z.number(), tasks: z.number() })),
     tasks: z.array(z.object({ index: z.number(), verdict, output: z.optional(z.unknown()), error: reason })),
 });
 
--- a/src/cli/EntryClient.ts
+++ b/src/cli/EntryClient.ts
@@ -3,6 +3,7 @@
 import * as z from "zod/mini";
 import { Verdict } from "../common/Verdict.js";
 import { AnswerBody } from "./AnswerBody.js";
+import { ChangeFate } from "./ChangeFate.js";
 import type { EntryError } from "./EntryError.js";
 import { errorBody } from "./errorBody.js";
 import { StoryBody } from "./StoryBody.js";
@@ -66,6 +67,11 @@
         return this.call({ method: "PUT", path, body: section, headers: { "if-match": `"${revision}"` } });
     }
 
+    /** Asks what became of a change whose answer had a token. */
+    public changeFate(token: string): Promise<Either<EntryError, ChangeFate>> {
+        return this.parsed({ method: "GET", path: `/v1/config/tokens/${encodeURIComponent(token)}` }, ChangeFate);
+    }
+
     public checkConfiguration(section: unknown): Promise<Either<EntryError, unknown>> {
         return this.call({ method: "POST", path: "/v1/config/check", body: section });
     }
@@ -137,6 +143,6 @@
         const failed = status >= FIRST_SERVER_ERROR_STATUS;
         return { ...unreachable(`HTTP status ${status} without an error body`), unreachable: failed, status };
     }
-    const { error, verdict, retryAfterMs } = parsed.data;
-    return { unreachable: false, status, ...error, verdict, retryAfterMs };
+    const { error, verdict, token, retryAfterMs } = parsed.data;
+    return { unreachable: false, status, ...error, verdict, token, retryAfterMs };
 }
--- a/src/cli/EntryError.ts
+++ b/src/cli/EntryError.ts
@@ -12,5 +12,7 @@
     /** Every fault of a malformed body. */
     readonly faults?: readonly { readonly path: string; readonly message: string; }[] | undefined;
     readonly verdict: Verdict;
+    /** Token that tells the fate of a configuration change. */
+    readonly token?: string | undefined;
     readonly retryAfterMs?: number | undefined;
 }
--- a/src/cli/GracefulStop.ts
+++ b/src/cli/GracefulStop.ts
@@ -2,7 +2,7 @@
 import type { Runtime } from "../common/Runtime.js";
 import { CliEvent } from "./CliEvent.js";
 import { ExitCode } from "./ExitCode.js";
-import type { Terminal } from "./Terminal.js";
+import type { StopSignals } from "./StopSignals.js";
 
 /** Time that a role may take to report what is left once its drain limit has passed, in milliseconds. */
 const REPORT_LIMIT_MS = 1000;
@@ -18,30 +18,14 @@
     ) {}
 
     /** Waits for a signal, then stops the role; a role that left work behind ends with `Failure`. */
-    public async run(terminal: Terminal): Promise<ExitCode> {
-        const { log } = this.runtime;
-        let onFirst: (signal: string) => void = () => undefined;
-        let onSecond: () => void = () => undefined;
-        let signals = 0;
-        const first = new Promise<string>(resolve => onFirst = resolve);
-        const second = new Promise<void>(resolve => onSecond = resolve);
-        const registration = terminal.onSignal(signal => {
-            signals += 1;
-            if (signals === 1) {
-                onFirst(signal);
-            }
-            else {
-                onSecond();
-            }
-        });
+    public async run(signals: Pick<StopSignals, "first" | "second">): Promise<ExitCode> {
         try {
-            log.write(CliEvent.DrainStarted, { signal: await first, limitMs: this.limitMs });
-            const left = await this.drain(second);
-            return this.report(left);
+            const signal = await signals.first;
+            this.runtime.log.write(CliEvent.DrainStarted, { signal, limitMs: this.limitMs });
+            return this.report(await this.drain(signals.second));
         }
         finally {
             await this.role.dispose();
-            registration.dispose();
         }
     }
 
--- a/src/cli/RoleProcess.test.ts
+++ b/src/cli/RoleProcess.test.ts
@@ -90,6 +90,18 @@
             assert.ok(events.includes(CliEvent.DrainCompleted));
         });
 
+        it("guards against a signal during the start that is lost or kills the process", async () => {
+            const role = new FakeRole(() => Promise.resolve([]));
+            const { terminal, events, instance } = create(SETTINGS, role);
+            const end = instance.run("x");
+            await Promise.resolve();
+            await Promise.resolve();
+            assert.ok(!events.includes(CliEvent.RoleStarted));
+            terminal.signal("SIGTERM");
+            assert.equal(await end, ExitCode.Success);
+            assert.deepEqual(role.limits, [30_000]);
+        });
+
         it("guards against a second signal that does not end a drain or hides what was left", async () => {
             const role = new FakeRole(limitMs =>
                 limitMs === 0 ? Promise.resolve(["job 7"]) : new Promise(() => undefined)
--- a/src/cli/RoleProcess.ts
+++ b/src/cli/RoleProcess.ts
@@ -7,6 +7,7 @@
 import { ExitCode } from "./ExitCode.js";
 import { GracefulStop } from "./GracefulStop.js";
 import type { RoleStarter } from "./RoleStarter.js";
+import { StopSignals } from "./StopSignals.js";
 import type { Terminal } from "./Terminal.js";
 
 const DEFAULT_DRAIN_LIMIT_MS = 30_000;
@@ -34,15 +35,25 @@
         if (settings === undefined) {
             return ExitCode.Usage;
         }
-        const common = settings.value as CommonSettings;
+        const signals = new StopSignals(this.terminal);
+        try {
+            return await this.runRole(settings.value, signals);
+        }
+        finally {
+            signals.dispose();
+        }
+    }
+
+    private async runRole(settings: z.infer<T>, signals: StopSignals): Promise<ExitCode> {
+        const common = settings as CommonSettings;
         const fields = { role: this.name, ...(common.id === undefined ? {} : { id: common.id }) };
         const runtime = await this.runtimeOf(fields, common.metrics);
-        const role = await this.start(settings.value, runtime);
+        const role = await this.start(settings, runtime);
         if (role === undefined) {
             return ExitCode.Failure;
         }
         const limitMs = common.drainLimitMs ?? DEFAULT_DRAIN_LIMIT_MS;
-        const code = await new GracefulStop(role, runtime, limitMs).run(this.terminal);
+        const code = await new GracefulStop(role, runtime, limitMs).run(signals);
         runtime.metrics.close();
         return code;
     }
--- a/src/cli/Submission.ts
+++ b/src/cli/Submission.ts
@@ -48,6 +48,7 @@
             return Left(ticket.extract());
         }
         const [name = ""] = ticket.orDefault([]);
+        this.progress(`submitting under ticket ${name}`);
         const body = { ticket: name, ...job };
         const answer = await this.anyEntry(limitAt, client => this.submitAndWait(client, name, body, limitAt));
         return answer.map(value => ({ ticket: name, answer: value }));
@@ -64,7 +65,8 @@
         while (isRunning(answer) && this.clock.now() < limitAt) {
             answer = await client.job(ticket, POLL_WAIT_MS);
             if (isRunning(answer)) {
-                this.progress(`running for ${Math.round((this.clock.now() - startedAt) / 1000)} s`);
+                const ended = answer.map(({ progress }) => endedText(progress)).orDefault("");
+                this.progress(`running for ${Math.round((this.clock.now() - startedAt) / 1000)} s${ended}`);
             }
         }
         return answer;
@@ -98,6 +100,10 @@
     }
 }
 
+function endedText(progress: AnswerBody["progress"]): string {
+    return progress === undefined ? "" : `, ${progress.ended} of ${progress.tasks} tasks ended`;
+}
+
 function isRunning(answer: Either<EntryError, AnswerBody>): boolean {
     return answer.map(value => value.state === "running").orDefault(false);
 }
--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -1,3 +1,4 @@
+import { SilentLog } from "../../common/log/SilentLog.js";
 import { createRuntime } from "../createRuntime.js";
 import { DemoDeployment } from "../DemoDeployment.js";
 import type { ExitCode } from "../ExitCode.js";
@@ -10,7 +11,7 @@
 
 /** Runs a whole deployment in this process, submits one job, prints its answer and story, and drains everything. */
 export async function demo(terminal: Terminal): Promise<ExitCode> {
-    const runtime = await createRuntime({ role: "demo" }, undefined);
+    const runtime = { ...await createRuntime({ role: "demo" }, undefined), log: new SilentLog() };
     const deployment = new DemoDeployment({
         entry: await loadEntry(),
         agent: await loadAgent(),
--- a/src/cli/commands/putConfiguration.ts
+++ b/src/cli/commands/putConfiguration.ts
@@ -1,8 +1,11 @@
+import { Right } from "purify-ts/Either";
+import { SystemClock } from "../../common/SystemClock.js";
 import { EntryClient } from "../EntryClient.js";
 import type { EntryOptions } from "../EntryOptions.js";
 import { ExitCode } from "../ExitCode.js";
 import { printResult } from "../printResult.js";
 import { readJson } from "../readJson.js";
+import { settleChange } from "../settleChange.js";
 import type { Terminal } from "../Terminal.js";
 
 /** Options of `config put`. */
@@ -11,7 +14,10 @@
     readonly revision: number;
 }
 
-/** Replaces the section of a team. It is sent to the first entry only, because a repeated write could be refused. */
+/**
+ * Replaces the section of a team. It is sent to the first entry only, because a repeated write could be refused. When the
+ * store's reply was lost, the fate of the change is asked for and reported once.
+ */
 export async function putConfiguration(
     terminal: Terminal,
     team: string,
@@ -25,8 +31,14 @@
             return Promise.resolve<ExitCode>(ExitCode.Usage);
         },
         Right: async value => {
-            const client = new EntryClient(options.entry[0] ?? "", options.token);
-            return printResult(terminal, await client.putSection(team, value, options.revision), options.json);
+            const clients = options.entry.map(url => new EntryClient(url, options.token));
+            const result = await clients[0]?.putSection(team, value, options.revision);
+            const token = result?.swap().map(error => error.token).orDefault(undefined);
+            if (result === undefined || token === undefined) {
+                return printResult(terminal, result ?? Right(undefined), options.json);
+            }
+            terminal.printError(`the store's reply was lost, asking for the fate of change ${token}`);
+            return printResult(terminal, await settleChange(clients, token, new SystemClock()), options.json);
         },
     });
 }
--- a/src/cli/describeAnswer.ts
+++ b/src/cli/describeAnswer.ts
@@ -5,8 +5,11 @@
 /** Lines for people about an answer: its state, then one line per task. */
 export function describeAnswer(answer: AnswerBody): readonly string[] {
     const reason = answer.reason === undefined ? "" : `, ${answer.reason.code}: ${answer.reason.message}`;
+    const tasks = answer.progress === undefined
+        ? `${answer.tasks.length} tasks`
+        : `${answer.progress.ended} of ${answer.progress.tasks} tasks ended`;
     return [
-        `${answer.state}, verdict ${answer.verdict}, ${answer.tasks.length} tasks${reason}`,
+        `${answer.state}, verdict ${answer.verdict}, ${tasks}${reason}`,
         ...answer.tasks.map(describeTask),
     ];
 }
--- a/src/cli/errorBody.ts
+++ b/src/cli/errorBody.ts
@@ -9,5 +9,6 @@
         faults: z.optional(z.array(z.object({ path: z.string(), message: z.string() }))),
     }),
     verdict: z.enum(["not_run", "may_have_run", "ran"]),
+    token: z.optional(z.string()),
     retryAfterMs: z.optional(z.number()),
 });
--- a/src/common/job/Answer.ts
+++ b/src/common/job/Answer.ts
@@ -10,6 +10,8 @@
     /** `ran` when every task ran, `not_run` when none was started, else `may_have_run`. */
     readonly verdict: Verdict;
     readonly reason?: { readonly code: FaultCode; readonly message: string; } | undefined;
+    /** How far a running job is; absent in final answers. */
+    readonly progress?: { readonly ended: number; readonly tasks: number; } | undefined;
     /** Empty while the job is running. */
     readonly tasks: readonly TaskAnswer[];
 }
--- a/src/common/log/RoarrLog.ts
+++ b/src/common/log/RoarrLog.ts
@@ -1,3 +1,5 @@
+import "./enableRoarr.js";
+// The line above must come first.
 import { ROARR, Roarr } from "roarr";
 import type { Log } from "./Log.js";
 import type { LogEvent } from "./LogEvent.js";
--- a/src/entry/controllers/Job.ts
+++ b/src/entry/controllers/Job.ts
@@ -58,8 +58,13 @@
 
     /** Final answer, or the running state. */
     public get answer(): Answer {
-        return this.finalAnswer
-            ?? { ticket: this.ticketText, state: JobState.Running, verdict: Verdict.MayHaveRun, tasks: [] };
+        return this.finalAnswer ?? {
+            ticket: this.ticketText,
+            state: JobState.Running,
+            verdict: Verdict.MayHaveRun,
+            progress: { ended: this.results.size, tasks: this.taskCount },
+            tasks: [],
+        };
     }
 
     public get finished(): boolean {
