Prove the guarantees with real processes, and write the log

Cause: roarr writes only while ROARR_LOG is set when it is loaded, so every role ran without a log: an operator saw neither events nor what a forced stop left behind. RoarrLog now turns roarr on before it loads it; ROARR_LOG=false still turns it off.

Tests start the roles as child processes: loss and pause of the issuer, loss and pause of an agent, both together, planned stops, an outage of the store and a rolling replacement under load. The endpoint stand-in answers GET /v1/starts.

--- a/src/common/log/RoarrLog.ts
+++ b/src/common/log/RoarrLog.ts
@@ -1,3 +1,4 @@
+import "./enableRoarr.js";
 import { ROARR, Roarr } from "roarr";
 import type { Log } from "./Log.js";
 import type { LogEvent } from "./LogEvent.js";
--- a/src/endpoint/TaskServer.ts
+++ b/src/endpoint/TaskServer.ts
@@ -8,6 +8,9 @@
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Answers GET with the starts of each task by `issuer/sequence/task`. */
+const STARTS_PATH = "/v1/starts";
+
 /** HTTP server that runs tasks by waiting, and counts the starts of each task. */
 export class TaskServer {
     private readonly startCounts = new Map<string, number>();
@@ -64,6 +67,10 @@
     }
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (request.method === "GET" && request.url === STARTS_PATH) {
+            sendJson(response, 200, Object.fromEntries(this.startCounts));
+            return;
+        }
         const payload = await readPayload(request);
         if (request.method !== "POST" || payload === undefined) {
             const message = "expected POST with {runMs, value?, fail?}";
--- /dev/null
+++ b/src/test/processes/EntryCaller.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import type { Answer } from "../../common/job/Answer.js";
+import type { Verdict } from "../../common/Verdict.js";
+
+/** Refusal in the form of the HTTP interface. */
+interface Refusal {
+    readonly error: { readonly code: string; readonly message: string; };
+    readonly verdict: Verdict;
+}
+
+type Reply = { readonly status: number; readonly answer: Answer; readonly refusal: undefined; } | {
+    readonly status: number;
+    readonly answer: undefined;
+    readonly refusal: Refusal;
+};
+
+/** HTTP client of one entry for one service. */
+export class EntryCaller {
+    constructor(private readonly url: string, private readonly token: string, private readonly service: string) {}
+
+    public async tickets(count: number): Promise<readonly string[]> {
+        const response = await this.send("POST", "/v1/tickets", { service: this.service, count });
+        const body = await response.json() as { tickets?: readonly string[]; };
+        assert.ok(body.tickets !== undefined, JSON.stringify(body));
+        return body.tickets;
+    }
+
+    /** Submits a job of tasks with the given run times and waits for its end; rejects when the connection fails. */
+    public async submit(ticket: string, runsMs: readonly number[], deadlineMs = 60_000): Promise<Reply> {
+        const tasks = runsMs.map((runMs, index) => ({ payload: { runMs, value: index } }));
+        const body = { ticket, service: this.service, deadlineMs, onFailure: "continue", tasks, wait: true };
+        const response = await this.send("POST", "/v1/jobs", body);
+        const value: unknown = await response.json();
+        return response.ok
+            ? { status: response.status, answer: value as Answer, refusal: undefined }
+            : { status: response.status, answer: undefined, refusal: value as Refusal };
+    }
+
+    /** Submits a job that has to be answered rather than refused. */
+    public async answer(ticket: string, runsMs: readonly number[], deadlineMs?: number): Promise<Answer> {
+        const { answer, refusal } = await this.submit(ticket, runsMs, deadlineMs);
+        assert.ok(answer !== undefined, JSON.stringify(refusal));
+        return answer;
+    }
+
+    /** Puts a section against its revision, 0 for a new one; returns the status. */
+    public async putSection(team: string, revision: number, section: object): Promise<number> {
+        const condition: Record<string, string> = revision === 0
+            ? { "if-none-match": "*" }
+            : { "if-match": `"${revision}"` };
+        return (await this.send("PUT", `/v1/config/sections/${team}`, section, condition)).status;
+    }
+
+    public async revision(): Promise<number> {
+        const response = await this.send("GET", "/v1/config");
+        return (await response.json() as { revision: number; }).revision;
+    }
+
+    private send(method: string, path: string, body?: object, more: Record<string, string> = {}): Promise<Response> {
+        const headers = { "authorization": `Bearer ${this.token}`, "content-type": "application/json", ...more };
+        return fetch(this.url + path, {
+            method,
+            headers,
+            ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+        });
+    }
+}
--- /dev/null
+++ b/src/test/processes/checkAnswer.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import type { Answer } from "../../common/job/Answer.js";
+import { JobState } from "../../common/job/JobState.js";
+import { Verdict } from "../../common/Verdict.js";
+import type { Deployment } from "./Deployment.js";
+
+/** Checks that an answer is whole and that its verdicts agree with the starts that the endpoints counted. */
+export async function checkAnswer(deployment: Deployment, answer: Answer, taskCount: number): Promise<void> {
+    assert.notEqual(answer.state, JobState.Running);
+    assert.deepEqual(answer.tasks.map(task => task.index), Array.from({ length: taskCount }, (_, index) => index));
+    const starts = await deployment.starts();
+    for (const { index, verdict, output } of answer.tasks) {
+        const count = starts.get(deployment.keyOf(answer.ticket, index)) ?? 0;
+        const seen = `task ${index}: ${verdict}, ${count} starts`;
+        assert.ok(count <= 1, seen);
+        assert.ok(verdict !== Verdict.NotRun || count === 0, seen);
+        assert.ok(verdict !== Verdict.Ran || count === 1, seen);
+        if (answer.state === JobState.Complete) {
+            assert.equal(verdict, Verdict.Ran);
+            assert.deepEqual((output as { value: unknown; }).value, index);
+        }
+        else {
+            assert.equal(output, undefined);
+        }
+    }
+}
