Count log events as metrics and send the gauges of an entry

Cause: only the messages sent were counted, so an operator saw no refusals, starts, retries, queues or store errors. Change: every log line increments events.<number>, with the fault code where it has one; an entry sends jobs.open, tasks.queued.<service> and agents.<service> every 10 s.

--- a/src/cli/createRuntime.ts
+++ b/src/cli/createRuntime.ts
@@ -1,3 +1,4 @@
+import { CountingLog } from "../common/log/CountingLog.js";
 import type { LogFields } from "../common/log/LogFields.js";
 import { RoarrLog } from "../common/log/RoarrLog.js";
 import type { Metrics } from "../common/Metrics.js";
@@ -14,11 +15,12 @@
 
 /** Creates the services of a running process; the StatsD client is loaded only when it is used. */
 export async function createRuntime(fields: LogFields, metrics: MetricsAddress | undefined): Promise<Runtime> {
+    const sink = await createMetrics(fields, metrics);
     return {
         clock: new SystemClock(),
         random: new SystemRandom(),
-        log: RoarrLog.create(fields),
-        metrics: await createMetrics(fields, metrics),
+        log: new CountingLog(RoarrLog.create(fields), sink),
+        metrics: sink,
     };
 }
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -21,6 +21,7 @@
 import { HttpServer } from "./HttpServer.js";
 import { OwnedClock } from "./OwnedClock.js";
 import { createScheduler } from "./policy/createScheduler.js";
+import { reportGauges } from "./reportGauges.js";
 import { createApp } from "./routes/createApp.js";
 import { jobRoutes } from "./routes/jobRoutes.js";
 import { operatorRoutes } from "./routes/operatorRoutes.js";
@@ -189,6 +190,13 @@
         const http = await HttpServer.listen(app, this.settings.http, this.runtime.log);
         this.sockets = { listener, http };
         await this.state.start();
+        // The entry's own clock drops the timer when the entry is disposed.
+        reportGauges(this.clock, this.runtime.metrics, {
+            openJobs: () => this.jobs.open,
+            services: () => configuration.services(),
+            queued: service => this.jobs.queued(service),
+            agents: () => this.agents.counts(),
+        });
         this.runtime.log.write(EntryEvent.Started, { http: http.port, wire: listener.port });
     }
 
--- /dev/null
+++ b/src/entry/reportGauges.ts
@@ -0,0 +1,24 @@
+import type { Clock } from "../common/Clock.js";
+import type { Metrics } from "../common/Metrics.js";
+
+const INTERVAL_MS = 10_000;
+
+interface Sources {
+    readonly openJobs: () => number;
+    readonly services: () => readonly string[];
+    readonly queued: (service: string) => number;
+    readonly agents: () => Readonly<Record<string, number>>;
+}
+
+/** Sends the gauges of an entry at once and every 10 s: `jobs.open`, `tasks.queued.<service>`, `agents.<service>`. */
+export function reportGauges(clock: Clock, metrics: Metrics, sources: Sources): void {
+    metrics.gauge("jobs.open", sources.openJobs());
+    const agents = sources.agents();
+    for (const service of sources.services()) {
+        metrics.gauge(`tasks.queued.${service}`, sources.queued(service));
+        metrics.gauge(`agents.${service}`, agents[service] ?? 0);
+    }
+    clock.schedule(INTERVAL_MS, () => {
+        reportGauges(clock, metrics, sources);
+    });
+}
