Begin gossip with a beat instead of the own row, and name 16 changes in the head row

Cause: the own row was half of each message, and a head row of 32 changes was 1 KB in each poll. Change: a message that begins an exchange is marked as such and has only beats; an entry that lacks the row asks for it. The head of 640 teams is at most 800 bytes.

--- a/scripts/measureSlopes.mjs
+++ b/scripts/measureSlopes.mjs
@@ -89,11 +89,12 @@
     return { child, url };
 }
 
-async function startEntry(platform) {
+async function startEntry(platform, id = "entry-1", entries = []) {
     const wire = port();
     const http = port();
     const child = startRole("entry", {
-        id: "entry-1",
+        id,
+        entries,
         region: "r",
         failureDomain: "f",
         listen: { host: HOST, port: wire },
@@ -266,7 +267,10 @@
             await putSection(entry, index);
         }
         const agent = await startAgent(entry);
-        await measure(`teams=${count}`, { entry: entry.child, agent: agent.child }, platform);
+        // The first entry has the garbage of the puts on its heap; the second one took the document when it started.
+        const second = await startEntry(platform, "entry-2", [`${HOST}:${entry.wire}`]);
+        const processes = { entry: entry.child, second: second.child, agent: agent.child };
+        await measure(`teams=${count}`, processes, platform);
     },
 
     async changes(perSecond) {
--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -137,6 +137,8 @@
     readonly rows: readonly Member[];
     /** Members whose rows the receiver may know, as triples: tag, counter, and twice the revision plus 1 when draining. */
     readonly beats?: readonly number[] | undefined;
+    /** True when the message begins an exchange; it then has a beat of the sender. */
+    readonly begins?: boolean | undefined;
     /** Tags from `beats` of the message that this one answers, whose rows the sender lacks. */
     readonly unknown?: readonly number[] | undefined;
 }
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -86,7 +86,12 @@
     heartbeat: { load: isCount, revision: isCount, section: optional(isCount) },
     alive: {},
     drain: { reason: isString },
-    members: { rows: listOf(MEMBER), beats: optional(listOf(isCount)), unknown: optional(listOf(isCount)) },
+    members: {
+        rows: listOf(MEMBER),
+        beats: optional(listOf(isCount)),
+        begins: optional(isBoolean),
+        unknown: optional(listOf(isCount)),
+    },
     pull: { since: isCount },
     configuration: {
         revision: isCount,
--- a/src/entry/configuration/ConfigurationRows.ts
+++ b/src/entry/configuration/ConfigurationRows.ts
@@ -12,15 +12,12 @@
 /** Write tokens that stay readable; a change overwrites the token row of the change this many head rows before it. */
 const KEPT_TOKENS = 1024;
 
-/** Changes named in the head row, about 30 bytes each. A reader that is further behind lists all sections. */
-const RECENT_CHANGES = 32;
+/** Changes named in the head row, about 35 bytes each. A reader that is further behind lists all sections. */
+const RECENT_CHANGES = 16;
 
 /** Earlier versions of a section kept in its row. */
 const KEPT_VERSIONS = 4;
 
-/** From this many changed sections on, one list request replaces single reads. */
-const LIST_FROM = 16;
-
 interface Versioned<T> {
     /** Revision of the row in the table; 0 when it does not exist. */
     readonly row: number;
@@ -61,7 +58,7 @@
     public async readChanges(head: HeadValue, since: number): Promise<readonly StoredSection[]> {
         const changes = head.recent.filter(({ revision }) => revision > since);
         const teams = new Set(changes.map(({ team }) => team));
-        if (changes.length < head.revision - since || teams.size >= LIST_FROM) {
+        if (changes.length < head.revision - since) {
             return this.listSections();
         }
         const rows = await Promise.all([...teams].map(team => this.table.read(SECTION_PREFIX + team)));
--- a/src/entry/configuration/ConfigurationWriter.test.ts
+++ b/src/entry/configuration/ConfigurationWriter.test.ts
@@ -214,7 +214,7 @@
             }
         }
         await writer.delete("team-5", 6);
-        assert.ok(JSON.stringify(table.rows.read("config/head")).length <= 1500);
+        assert.ok(JSON.stringify(table.rows.read("config/head")).length <= 800);
         await late.head.synchronise();
         assert.equal(late.store.revision, 641);
         assert.equal(late.store.teams().length, 639);
--- a/src/entry/controllers/Membership.ts
+++ b/src/entry/controllers/Membership.ts
@@ -194,14 +194,14 @@
     }
 
     /** Merges what a peer sent and answers with what it lacks. */
-    private receive({ message, peer, reply }: PeerMessage): void {
+    private receive({ message, reply }: PeerMessage): void {
         if (message.kind !== "members" || this.disposed) {
             return;
         }
         const beats = this.exchange.read(message);
         const own = memberTag(this.self());
         this.mergeAll([...this.exchange.rowsOf(message), ...beats.rows]);
-        const answer = this.exchange.answer(message, peer.id, beats.unknown.filter(tag => tag !== own));
+        const answer = this.exchange.answer(message, this.self(), beats.unknown.filter(tag => tag !== own));
         if (answer !== undefined) {
             reply(answer);
         }
--- a/src/entry/membership/Exchange.ts
+++ b/src/entry/membership/Exchange.ts
@@ -20,13 +20,10 @@
         private readonly random: Random,
     ) {}
 
-    /** Begins an exchange: the own row, and beats of the other members. */
+    /** Begins an exchange with beats of this entry and of the other members. */
     public begin(self: Member): Members {
-        return {
-            kind: "members",
-            rows: [self],
-            beats: Beat.pack(this.select(this.table.live()).map(row => Beat.of(row))),
-        };
+        const known = [self, ...this.select(this.table.live())];
+        return { kind: "members", rows: [], beats: Beat.pack(known.map(row => Beat.of(row))), begins: true };
     }
 
     /** Rows of a received message, up to the size of one message. */
@@ -51,15 +48,13 @@
     }
 
     /**
-     * Answers a message: with the rows that it asks for, a request for rows that are unknown here and, when it
-     * began an exchange, with what its sender lacks. The answer leaves out the own row, so an exchange ends there. Undefined
-     * when there is nothing to tell.
+     * Answers a message: with the rows that it asks for, a request for rows that are unknown here and, when it began an
+     * exchange, with what its sender lacks. Undefined when there is nothing to tell.
      */
-    public answer(message: Members, sender: string, unknown: readonly number[]): Members | undefined {
+    public answer(message: Members, self: Member, unknown: readonly number[]): Members | undefined {
         const wanted = new Set(message.unknown ?? []);
-        const begun = message.rows.some(row => row.id === sender);
-        const lacking = begun ? this.lackedBy(message) : { rows: [], beats: [] };
-        const asked = this.table.live().filter(row => wanted.has(memberTag(row)));
+        const lacking = message.begins === true ? this.lackedBy(message) : { rows: [], beats: [] };
+        const asked = [self, ...this.table.live()].filter(row => wanted.has(memberTag(row)));
         const rows = [...asked, ...lacking.rows].slice(0, MAX_ROWS);
         if (rows.length + lacking.beats.length + unknown.length === 0) {
             return undefined;
@@ -80,10 +75,10 @@
         return { rows: isWhole ? rows : [], beats: this.select(known).map(row => Beat.of(row)) };
     }
 
-    /** A random choice of rows, up to the beats of one message. */
+    /** A random choice of rows, up to the beats of one message with room for the own one. */
     private select(rows: readonly Member[]): readonly Member[] {
         const pool = [...rows];
-        while (pool.length > MAX_BEATS) {
+        while (pool.length >= MAX_BEATS) {
             pool.splice(Math.floor(this.random.next() * pool.length), 1);
         }
         return pool;
