--- a/src/entry/controllers/Agents.test.ts
+++ b/src/entry/controllers/Agents.test.ts
@@ -128,6 +128,40 @@
         assert.equal(kinds.filter(kind => kind === "credit").length, 1);
     });
 
+    it("guards against connections of agents that never attach, and against closing those that did", () => {
+        const idle = new FakeChannel(identityOf("i2"));
+        agents.accept(idle);
+        const attached = attach();
+        for (let second = 0; second < 12; second++) {
+            clock.advance(1000);
+            attached.messages.fire({ kind: "heartbeat", load: 0, revision: 0 });
+        }
+        assert.deepEqual([idle.open, attached.open], [false, true]);
+    });
+
+    it("guards against taking an agent of another region", () => {
+        const foreign = new FakeChannel({ ...identityOf("i2"), region: "elsewhere" });
+        agents.accept(foreign);
+        foreign.messages.fire({ kind: "attach", service: "s", rack: "k", slots: 2, connections: 8 });
+        foreign.messages.fire({ kind: "credit", count: 2 });
+        assert.ok(foreign.sent.some(message => message.kind === "attached" && !message.accepted));
+        assert.deepEqual(kinds, []);
+        assert.deepEqual(agents.attached("s"), []);
+    });
+
+    it("guards against a probe of each absent agent every second", async () => {
+        let probes = 0;
+        dial = () => {
+            probes += 1;
+            return Promise.reject(new Fault("protocol", "connect timed out"));
+        };
+        attach().close("retired");
+        for (let second = 0; second <= 60; second++) {
+            await advance(1000);
+        }
+        assert.ok(probes >= 6 && probes <= 12, `${probes} probes in a minute`);
+    });
+
     it("guards against new agents at a draining entry and against losing those with running tasks", () => {
         attach().close("cut");
         agents.drain();
--- a/src/entry/controllers/Relay.test.ts
+++ b/src/entry/controllers/Relay.test.ts
@@ -34,6 +34,8 @@
 /** Calls between entries without sockets; an address in `down` is not reachable. */
 class Network {
     public readonly down = new Set<string>();
+    /** Methods whose calls are refused because too many wait. */
+    public readonly overloaded = new Set<string>();
     public calls = 0;
     private readonly handlers = new Map<string, Parameters<PeerCalls["serve"]>[1]>();
 
@@ -46,6 +48,9 @@
             call: (address, _incarnation, method, body) => {
                 this.calls += 1;
                 const handler = this.handlers.get(`${address} ${method}`);
+                if (this.overloaded.has(method)) {
+                    return Promise.reject(new Fault("overloaded", "too many calls", "not_run", 100));
+                }
                 return this.down.has(address) || handler === undefined
                     ? Promise.reject(new Fault("issuer_lost", "unreachable", "may_have_run"))
                     : handler(body, identity.current);
@@ -181,6 +186,14 @@
         await assert.rejects(other.relay.status(ticket, "another team", 0), { code: "forbidden" });
     });
 
+    it("guards against not_run for a running job whose issuer is too busy to be asked", async () => {
+        await other.relay.submit(request(), 0);
+        network.overloaded.add("job.wait").add("job.cancel");
+        const unheard = { code: "overloaded", verdict: "may_have_run", retryAfterMs: 100 };
+        await assert.rejects(other.relay.status(ticket, "t", 0), unheard);
+        await assert.rejects(other.relay.cancel(ticket, "t"), unheard);
+    });
+
     it("guards against silence about jobs of a fenced incarnation", async () => {
         const answer = home.relay.submit(request(), Infinity);
         await advance(100);
--- a/src/entry/controllers/Relay.ts
+++ b/src/entry/controllers/Relay.ts
@@ -7,6 +7,7 @@
 import type { StoryEntry } from "../../common/job/StoryEntry.js";
 import type { Ticket } from "../../common/ticket/Ticket.js";
 import type { TicketCodec } from "../../common/ticket/TicketCodec.js";
+import { Verdict } from "../../common/Verdict.js";
 import { EntryEvent } from "../EntryEvent.js";
 import type { EntryIdentity } from "../EntryIdentity.js";
 import type { PeerCalls } from "../PeerCalls.js";
@@ -147,8 +148,12 @@
 
     private async callIssuer(ticket: Ticket, method: string, ask: Ask): Promise<Answer> {
         const timeoutMs = ask.waitMs + ISSUER_TIMEOUT_MS;
-        const reply = await this.parts.peers.call(ticket.address, ticket.issuer, method, ask, timeoutMs);
-        return reply as Answer;
+        const call = this.parts.peers.call(ticket.address, ticket.issuer, method, ask, timeoutMs);
+        return await call.catch((error: unknown) => {
+            throw error instanceof Fault && error.code === FaultCode.Overloaded && method !== SUBMIT
+                ? unheard(error)
+                : error;
+        }) as Answer;
     }
 
     private slice(until: number): number {
@@ -219,6 +224,11 @@
     }
 }
 
+/** A question about a job that was not passed on says nothing about what the job has run. */
+function unheard({ code, message, retryAfterMs }: Fault): Fault {
+    return new Fault(code, message, Verdict.MayHaveRun, retryAfterMs);
+}
+
 function isLost(error: unknown): boolean {
     return error instanceof Fault && (error.code === FaultCode.IssuerLost || error.code === FaultCode.Timeout);
 }
--- a/src/test/Deployment.ts
+++ b/src/test/Deployment.ts
@@ -1,7 +1,5 @@
 import assert from "node:assert/strict";
 import { Agent } from "../agent/Agent.js";
-import { FaultCode } from "../common/FaultCode.js";
-import type { Answer } from "../common/job/Answer.js";
 import { SilentLog } from "../common/log/SilentLog.js";
 import { NoMetrics } from "../common/NoMetrics.js";
 import type { RunningRole } from "../common/RunningRole.js";
@@ -13,52 +11,26 @@
 import { SystemClock } from "../common/SystemClock.js";
 import type { Ticket } from "../common/ticket/Ticket.js";
 import { TicketCodec } from "../common/ticket/TicketCodec.js";
-import { Verdict } from "../common/Verdict.js";
 import { Endpoint } from "../endpoint/Endpoint.js";
 import { Entry } from "../entry/Entry.js";
-import { EntryEvent } from "../entry/EntryEvent.js";
 import { Platform } from "../platform/Platform.js";
+import { DeploymentClient } from "./DeploymentClient.js";
 import { FastClock } from "./FastClock.js";
 import { Link } from "./Link.js";
 import { LinkRules } from "./LinkRules.js";
+import { until } from "./until.js";
 
 const HOST = "127.0.0.1";
 const FREE = { host: HOST, port: 0 };
 const SECRET = "a secret of the deployment";
-const TOKEN = "token of the tour team";
-const TEAM = "tour";
 const BALANCER = "balancer";
 
 /** Heartbeats and time limits of entries and agents run this many times faster than real time. */
 const CLOCK_FACTOR = 3;
 
-const WAIT_LIMIT_MS = 40_000;
-const POLL_MS = 10;
-
-interface Reply {
-    readonly status: number;
-    readonly body: Answer & {
-        readonly tickets: readonly string[];
-        readonly error?: { readonly code: string; readonly message: string; };
-        readonly members: readonly { readonly id: string; }[];
-        readonly steps: readonly { readonly event: number; readonly task?: number; }[];
-        readonly revision: number;
-    };
-}
-
-/** Options of a submission; `repeatable` and `sizeMs` apply to each of its tasks. */
-interface SubmitOptions {
-    readonly deadlineMs?: number;
-    readonly wait?: boolean;
-    readonly onFailure?: "stop" | "continue";
-    readonly repeatable?: boolean;
-    readonly sizeMs?: number;
-    readonly signal?: AbortSignal;
-}
-
 /** Entries, agents and endpoints in one process whose connections to each other pass through links. */
-export class Deployment {
-    public readonly service = TEAM;
+export class Deployment extends DeploymentClient {
+    public static readonly until = until;
     /** Seconds of the clock of entries and agents in one second. */
     public readonly clockFactor = CLOCK_FACTOR;
     public readonly rules = new LinkRules();
@@ -68,7 +40,9 @@
     private readonly links = new Map<string, Link>();
     private readonly clock = new FastClock(CLOCK_FACTOR);
 
-    private constructor(public readonly platform: Platform) {}
+    private constructor(public readonly platform: Platform) {
+        super();
+    }
 
     /** Starts the platform alone. */
     public static async create(): Promise<Deployment> {
@@ -92,15 +66,6 @@
         return deployment;
     }
 
-    /** Resolves when `condition` holds; fails with `what` after a generous limit. */
-    public static async until(what: string, condition: () => boolean | Promise<boolean>): Promise<void> {
-        const end = performance.now() + WAIT_LIMIT_MS;
-        while (!await condition()) {
-            assert.ok(performance.now() < end, `timed out waiting for ${what}`);
-            await new Promise(resolve => setTimeout(resolve, POLL_MS));
-        }
-    }
-
     /** Starts of each task at any endpoint, by `issuer/sequence/task`. */
     public get starts(): ReadonlyMap<string, number> {
         const starts = new Map<string, number>();
@@ -124,7 +89,7 @@
             http: FREE,
             advertise: link.address,
             secret: SECRET,
-            tokens: [{ token: TOKEN, role: "admin", team: TEAM }],
+            tokens: [{ token: this.token, role: "admin", team: this.service }],
             entries: this.seeds(id),
             platform: { url: `http://${HOST}:${this.platform.port}`, timeoutMs: 500 },
         });
@@ -153,7 +118,7 @@
         link.targetPort = agent.port;
         this.agents.set(id, agent);
         const endpoint = EndpointSettings.parse({
-            service: TEAM,
+            service: this.service,
             http: FREE,
             agent: `http://${HOST}:${agent.announcePort}`,
             slots,
@@ -176,7 +141,7 @@
 
     /** Waits until the entries know each other and `agents` agents are attached to them. */
     public async converge(entries: readonly string[], agents: number): Promise<void> {
-        await Deployment.until("members and agents", async () => {
+        await until("members and agents", async () => {
             const counts = await Promise.all(entries.map(async id => {
                 const { body } = await this.call(id, "GET", "/v1/members");
                 return body.members.length === entries.length ? this.attachedTo(id) : -Infinity;
@@ -185,13 +150,6 @@
         });
     }
 
-    /** Number of agents attached to an entry. */
-    public async attachedTo(id: string): Promise<number> {
-        const { body } = await this.call(id, "GET", "/v1/services");
-        const { services } = body as unknown as { services: { name: string; agents: number; }[]; };
-        return services.find(service => service.name === TEAM)?.agents ?? 0;
-    }
-
     /** Id of the entry that issued a ticket from `id`, by the ticket itself. */
     public issuerOf(ticket: string): string {
         const { issuer } = decodeTicket(ticket);
@@ -204,86 +162,6 @@
         return `${issuer}/${sequence}/${task}`;
     }
 
-    /** Tasks of a job that its issuer placed on an agent, by the job's story. */
-    public async placedTasks(entry: string, ticket: string): Promise<ReadonlySet<number>> {
-        const { body } = await this.call(entry, "GET", `/v1/jobs/${ticket}/story`);
-        const placed = body.steps.filter(step => step.event === EntryEvent.TaskPlaced.number);
-        return new Set(placed.flatMap(step => step.task ?? []));
-    }
-
-    /** Gets a ticket; asks again while no entry with agents is known, which is refused with verdict not_run. */
-    public async ticket(entry: string): Promise<string> {
-        let ticket: string | undefined;
-        await Deployment.until(`a ticket of ${entry}`, async () => {
-            const { status, body } = await this.call(entry, "POST", "/v1/tickets", { service: TEAM, count: 1 });
-            assert.ok(status === 200 || status === 503 && body.verdict === "not_run", JSON.stringify(body));
-            ticket = status === 200 ? body.tickets[0] : undefined;
-            return ticket !== undefined;
-        });
-        return ticket ?? "";
-    }
-
-    /** Submits a job whose tasks run for `runMs` and answer their `value`; waits for the answer unless told not to. */
-    public submit(
-        entry: string,
-        ticket: string,
-        tasks: readonly { readonly runMs: number; readonly value: unknown; readonly fail?: boolean; }[],
-        more: SubmitOptions = {},
-    ): Promise<Reply> {
-        const { repeatable, sizeMs, signal, ...fields } = more;
-        const body = tasks.map(payload => ({ payload, repeatable, sizeMs }));
-        const fixed = { ticket, service: TEAM, tasks: body };
-        const whole = { deadlineMs: 60_000, wait: true, ...fixed, ...fields };
-        return this.call(entry, "POST", "/v1/jobs", whole, {}, signal);
-    }
-
-    /** Submits until the job is not refused for overload; such a refusal says that nothing was run. */
-    public async submitUntilTaken(...job: Parameters<Deployment["submit"]>): Promise<Reply> {
-        let reply = await this.submit(...job);
-        await Deployment.until("admission of the job", async () => {
-            if (reply.body.error?.code !== FaultCode.Overloaded) {
-                return true;
-            }
-            assert.equal(reply.body.verdict, Verdict.NotRun);
-            reply = await this.submit(...job);
-            return false;
-        });
-        return reply;
-    }
-
-    public async call(
-        entry: string,
-        method: string,
-        path: string,
-        body?: unknown,
-        headers = {},
-        signal?: AbortSignal,
-    ): Promise<Reply> {
-        const response = await fetch(`http://${HOST}:${this.entries.get(entry)?.httpPort ?? 0}${path}`, {
-            method,
-            headers: { authorization: `Bearer ${TOKEN}`, connection: "close", ...headers },
-            ...signal === undefined ? {} : { signal },
-            ...body === undefined ? {} : { body: JSON.stringify(body) },
-        });
-        return { status: response.status, body: await response.json() as Reply["body"] };
-    }
-
-    /** Writes the section of the team through an entry, against the revision `base`; 0 creates it. */
-    public put(entry: string, base: number, maxQueuedTasks = 20_000): Promise<Reply> {
-        const section = { team: TEAM, services: { [TEAM]: { maxQueuedTasks } } };
-        const headers = base === 0 ? { "if-none-match": "*" } : { "if-match": `"${base}"` };
-        return this.call(entry, "PUT", `/v1/config/sections/${TEAM}`, section, headers);
-    }
-
-    /** Revisions in force at the entry itself, and at the agents attached to it. */
-    public async revisions(entry: string): Promise<readonly number[]> {
-        const { body } = await this.call(entry, "GET", "/v1/config");
-        const status = (await this.call(entry, "GET", "/v1/config/status")).body as unknown as {
-            agents: readonly { readonly revision: number; }[];
-        };
-        return [body.revision, ...status.agents.map(agent => agent.revision)];
-    }
-
     /** Changes the faults of the platform's store. */
     public async setStore(plan: object): Promise<void> {
         const url = `http://${HOST}:${this.platform.port}/v1/faults`;
@@ -300,6 +178,10 @@
         }
     }
 
+    protected httpPortOf(entry: string): number {
+        return this.entries.get(entry)?.httpPort ?? 0;
+    }
+
     private async link(id: string): Promise<Link> {
         const link = await Link.start(id, this.rules);
         this.links.set(id, link);
