Apply link rules behind the load balancer, and use every slot in the fault tests

Cause: agents that came through the balancer's link kept that connection, whose name matched no rule, so seven tests waited in vain; the wave test needs every slot, but a reserved share of 0.2 kept two of eight from tasks that had been learnt to be long. Change: a link takes the name of the entry behind it at the time of the connection; the service of the tests reserves no share.

--- a/src/test/Deployment.ts
+++ b/src/test/Deployment.ts
@@ -95,7 +95,7 @@
         });
         const entry = await Entry.start(settings, runtimeOf(id, this.clock));
         link.targetPort = entry.wirePort;
-        this.balance(entry.wirePort);
+        this.balance(id, entry.wirePort);
         this.entries.set(id, entry);
         return entry;
     }
@@ -135,8 +135,8 @@
         await this.agents.get(id)?.dispose();
         this.entries.delete(id);
         this.agents.delete(id);
-        const [first] = this.entries.values();
-        this.balance(first?.wirePort ?? 0);
+        const [first] = this.entries;
+        this.balance(first?.[0] ?? BALANCER, first?.[1].wirePort ?? 0);
     }
 
     /** Waits until the entries know each other and `agents` agents are attached to them. */
@@ -189,9 +189,10 @@
     }
 
     /** Points the load balancer's address at one entry. */
-    private balance(port: number): void {
+    private balance(id: string, port: number): void {
         const link = this.links.get(BALANCER);
         if (link !== undefined) {
+            link.name = id;
             link.targetPort = port;
         }
     }
--- a/src/test/DeploymentClient.ts
+++ b/src/test/DeploymentClient.ts
@@ -105,7 +105,7 @@
 
     /** Writes the section of the team through an entry, against the revision `base`; 0 creates it. */
     public put(entry: string, base: number, maxQueuedTasks = 20_000): Promise<Reply> {
-        const section = { team: this.service, services: { [this.service]: { maxQueuedTasks } } };
+        const section = { team: this.service, services: { [this.service]: { maxQueuedTasks, reservedShare: 0 } } };
         const headers = base === 0 ? { "if-none-match": "*" } : { "if-match": `"${base}"` };
         return this.call(entry, "PUT", `/v1/config/sections/${this.service}`, section, headers);
     }
--- a/src/test/Link.ts
+++ b/src/test/Link.ts
@@ -10,7 +10,8 @@
     private readonly sockets = new Set<Socket>();
 
     private constructor(
-        private readonly name: string,
+        /** Name of the process behind the link. */
+        public name: string,
         private readonly rules: LinkRules,
         private readonly server: Server,
     ) {
@@ -39,12 +40,13 @@
 
     private relay(near: Socket): void {
         const far = connect({ host: "127.0.0.1", port: this.targetPort });
+        const { name } = this;
         const codec = new FrameCodec();
         let from: string | undefined;
-        const ahead = new LinkPipe(far, this.rules, () => from === undefined ? undefined : [from, this.name]);
-        const back = new LinkPipe(near, this.rules, () => from === undefined ? undefined : [this.name, from]);
+        const ahead = new LinkPipe(far, this.rules, () => from === undefined ? undefined : [from, name]);
+        const back = new LinkPipe(near, this.rules, () => from === undefined ? undefined : [name, from]);
         const apply = () => {
-            if (from !== undefined && this.rules.isSevered(from, this.name)) {
+            if (from !== undefined && this.rules.isSevered(from, name)) {
                 near.resetAndDestroy();
                 far.resetAndDestroy();
                 return;
@@ -56,7 +58,7 @@
             if (from === undefined) {
                 from = nameIn(codec, chunk);
                 if (from !== undefined) {
-                    this.rules.countAttempt(from, this.name);
+                    this.rules.countAttempt(from, name);
                 }
             }
             ahead.push(chunk);
