Grant slots to the queue of a home that is replaced

Cause: an agent that changes its home, also because the old one drains, asked for all credits back and granted no more. Tasks queued at the old home could not start, since only the issuer of a ticket may start them: a drain of an entry with 24 tasks on 8 slots ran into its limit of 30 s and cut its callers off (exit code 1).

Change: a retired entry still gets credits for the tasks that it reports as queued, and its connection closes once a heartbeat has said that none are left. An agent whose home changes back restores the open connection instead of waiting for it to close.

--- a/src/agent/Attachment.ts
+++ b/src/agent/Attachment.ts
@@ -11,6 +11,8 @@
 /** One connection to an entry, with its heartbeats and its state. */
 export class Attachment {
     public state: AttachmentState = "connected";
+    /** True when the entry was told that the endpoint leaves, so that nothing more is started over the connection. */
+    public leaving = false;
     private heardAt: number;
     private stateSince: number;
     private cancelTimer: () => void = () => undefined;
--- a/src/agent/Attachments.ts
+++ b/src/agent/Attachments.ts
@@ -20,6 +20,9 @@
 /** Longest wait for the credits of a retiring attachment to be released, in milliseconds. */
 const RELEASE_WAIT_MS = 2000;
 
+/** Time in which a replaced home has said, with a heartbeat, whether tasks still wait there, in milliseconds. */
+const QUEUE_REPORT_MS = 1500;
+
 /** An attachment that lasts this long, in milliseconds, ends the entry's run of failures. */
 const STABLE_MS = 10_000;
 
@@ -74,6 +77,7 @@
         for (const attachment of this.attachments) {
             if (attachment.isAttached) {
                 attachment.channel.send({ kind: "drain", reason });
+                attachment.leaving = true;
                 this.retire(attachment);
             }
             else {
@@ -130,6 +134,11 @@
             this.closeUnused();
             return;
         }
+        if (known?.state === "retiring" && !known.leaving) {
+            this.slots.restore(known.channel);
+            this.attached(known);
+            return;
+        }
         if (known?.state !== "retiring") {
             await this.attach(home.id, home.address, known, endpoint);
         }
@@ -168,10 +177,13 @@
     }
 
     private attached(attachment: Attachment): void {
+        const isNew = attachment.state !== "retiring";
         attachment.enter("attached");
         this.directory.add({ ...attachment.channel.peer });
         this.runtime.log.write(AgentEvent.Attached, { entry: attachment.id });
-        this.slots.add(attachment.channel);
+        if (isNew) {
+            this.slots.add(attachment.channel);
+        }
         this.tasks.deliverKept(attachment.channel);
         for (const other of this.attachments) {
             if (other !== attachment && other.state === "attached") {
@@ -262,12 +274,14 @@
         }
     }
 
-    /** Closes retiring attachments whose tasks are reported. */
+    /** Closes retiring attachments whose tasks are reported and whose entry has none left in its queue. */
     public closeRetired(): void {
         for (const attachment of this.attachments) {
             const { channel } = attachment;
             const released = this.slots.creditsOf(channel) === 0 || attachment.age > RELEASE_WAIT_MS;
-            if (attachment.state === "retiring" && released && this.tasks.runningOf(channel) === 0) {
+            const awaited = attachment.age < QUEUE_REPORT_MS || this.slots.queuedOf(channel) > 0;
+            const needed = this.tasks.runningOf(channel) > 0 || !attachment.leaving && awaited;
+            if (attachment.state === "retiring" && released && !needed) {
                 channel.close("retired");
             }
         }
--- a/src/agent/Slots.test.ts
+++ b/src/agent/Slots.test.ts
@@ -25,6 +25,7 @@
         "report",
         "resize",
         "retire",
+        "restore",
     ),
     key: fc.constantFrom("a", "b", "c"),
     count: fc.nat(8),
@@ -76,6 +77,9 @@
         else if (kind === "retire") {
             slots.retire(key);
         }
+        else if (kind === "restore") {
+            slots.restore(key);
+        }
         assert.ok(slots.granted + slots.running <= most, `${slots.granted} + ${slots.running} exceed ${most} slots`);
         for (const name of present) {
             assert.equal(credits.get(name), slots.creditsOf(name), `entry ${name} counts other credits than the agent`);
@@ -127,4 +131,20 @@
         slots.release("old", 4);
         assert.equal(credits.get("new"), 8);
     });
+
+    it("guards against starving the queue of a home that was replaced", () => {
+        const { slots, asked, credits } = new Entries();
+        slots.resize(4);
+        slots.add("old");
+        slots.report("old", 9);
+        slots.add("new");
+        slots.retire("old");
+        assert.equal(asked.get("old"), undefined);
+        slots.use("old", 8);
+        assert.equal(slots.finish("old"), true);
+        slots.report("old", 1);
+        assert.equal(asked.get("old"), 3);
+        slots.release("old", 3);
+        assert.equal(credits.get("new"), 3);
+    });
 });
--- a/src/agent/Slots.ts
+++ b/src/agent/Slots.ts
@@ -6,7 +6,7 @@
     queued: number;
     /** Credits asked back and not yet released. */
     reclaiming: number;
-    /** True when the entry gets no further credits. */
+    /** True when the entry gets further credits only for the tasks that wait there. */
     retired: boolean;
 }
 
@@ -35,6 +35,11 @@
         return this.holders.get(key)?.credits ?? 0;
     }
 
+    /** Tasks that wait at an entry, as it last said. */
+    public queuedOf(key: K): number {
+        return this.holders.get(key)?.queued ?? 0;
+    }
+
     /** Sets the number of slots and grants what is free. */
     public resize(total: number): void {
         this.total = total;
@@ -59,12 +64,24 @@
         this.grantFree();
     }
 
-    /** Grants an entry nothing more and asks for all of its credits back. */
+    /**
+     * Asks an entry for the credits back that its queue does not need. The tasks in its queue still get credits, because
+     * no other entry may start them.
+     */
     public retire(key: K): void {
         const holder = this.holders.get(key);
         if (holder !== undefined && !holder.retired) {
             holder.retired = true;
-            this.reclaim(key, holder, holder.credits);
+            this.reclaimSurplus(key, holder);
+        }
+    }
+
+    /** Takes back `retire`. */
+    public restore(key: K): void {
+        const holder = this.holders.get(key);
+        if (holder !== undefined) {
+            holder.retired = false;
+            this.grantFree();
         }
     }
 
@@ -113,7 +130,11 @@
             return;
         }
         holder.queued = queued;
-        if (queued === 0 || holder.credits > 0 || holder.retired) {
+        if (holder.retired) {
+            this.reclaimSurplus(key, holder);
+            this.grantFree();
+        }
+        if (queued === 0 || holder.credits > 0) {
             return;
         }
         for (const [other, idle] of this.holders) {
@@ -127,6 +148,10 @@
         return this.total - this.busy - this.granted;
     }
 
+    private reclaimSurplus(key: K, holder: Holder): void {
+        this.reclaim(key, holder, holder.credits - holder.queued);
+    }
+
     private reclaim(key: K, holder: Holder, wanted: number): void {
         const count = Math.min(wanted, holder.credits) - holder.reclaiming;
         if (count > 0) {
@@ -154,7 +179,8 @@
     private choose(): [K, Holder] | undefined {
         let best: [K, Holder] | undefined;
         for (const [key, holder] of this.holders) {
-            if (!holder.retired && (best === undefined || isBefore(holder, best[1]))) {
+            const eligible = !holder.retired || holder.queued > holder.credits;
+            if (eligible && (best === undefined || isBefore(holder, best[1]))) {
                 best = [key, holder];
             }
         }
