--- a/src/agent/Attachment.ts
+++ b/src/agent/Attachment.ts
@@ -20,6 +20,8 @@
 /** One connection to an entry, with its heartbeats and its state. */
 export class Attachment {
     public state: AttachmentState = "connected";
+    /** True when the entry was told that the endpoint leaves, so that nothing more is started over the connection. */
+    public leaving = false;
     private heardAt: number;
     private stateSince: number;
     private told: Report | undefined;
