--- a/src/agent/Attachment.ts
+++ b/src/agent/Attachment.ts
@@ -1,23 +1,33 @@
 import type { Clock } from "../common/Clock.js";
 import type { Log } from "../common/log/Log.js";
 import { WireEvent } from "../common/log/WireEvent.js";
-import type { Channel } from "../common/wire/Channel.js";
+import type { MessageOf } from "../common/wire/MessageOf.js";
 import type { AttachmentState } from "./AttachmentState.js";
+import type { TimedChannel } from "./TimedChannel.js";
 
+/** Longest time without a message to an attached entry, give or take one look. */
 const HEARTBEAT_MS = 1000;
+
+/** Time between two looks at an attached connection. */
+const LOOK_MS = 250;
+
 const MISSED_HEARTBEATS = 3;
 const ATTACH_TIMEOUT_MS = 3000;
 
+/** What a heartbeat tells. */
+type Report = Omit<MessageOf<"heartbeat">, "kind">;
+
 /** One connection to an entry, with its heartbeats and its state. */
 export class Attachment {
     public state: AttachmentState = "connected";
     private heardAt: number;
     private stateSince: number;
+    private told: Report | undefined;
     private cancelTimer: () => void = () => undefined;
 
     constructor(
-        public readonly channel: Channel,
-        private readonly heartbeat: () => { load: number; revision: number; },
+        public readonly channel: TimedChannel,
+        private readonly report: () => Report,
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
@@ -52,12 +62,12 @@
     }
 
     private schedule(): void {
-        this.cancelTimer = this.clock.schedule(HEARTBEAT_MS, () => {
-            this.beat();
+        this.cancelTimer = this.clock.schedule(LOOK_MS, () => {
+            this.look();
         });
     }
 
-    private beat(): void {
+    private look(): void {
         const limitMs = this.isAttached ? MISSED_HEARTBEATS * HEARTBEAT_MS : ATTACH_TIMEOUT_MS;
         if (this.clock.now() - this.heardAt > limitMs) {
             this.log.write(WireEvent.HeartbeatLost, { peer: this.id, state: this.state });
@@ -65,8 +75,22 @@
             return;
         }
         if (this.isAttached) {
-            this.channel.send({ kind: "heartbeat", ...this.heartbeat() });
+            this.beat();
         }
         this.schedule();
     }
+
+    /** Any message is a sign of life. A heartbeat tells a new revision at once and a new load after a second of silence. */
+    private beat(): void {
+        const report = this.report();
+        const isSilent = this.clock.now() - this.channel.sentAt >= HEARTBEAT_MS;
+        const isAdopted = report.revision !== this.told?.revision || report.section !== this.told.section;
+        if (isAdopted || (isSilent && report.load !== this.told?.load)) {
+            this.told = report;
+            this.channel.send({ kind: "heartbeat", ...report });
+        }
+        else if (isSilent) {
+            this.channel.send({ kind: "alive" });
+        }
+    }
 }
--- a/src/bench/LoadClient.ts
+++ b/src/bench/LoadClient.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from "undici";
+import { FaultCode } from "../common/FaultCode.js";
 import type { Answer } from "../common/job/Answer.js";
 import { JobState } from "../common/job/JobState.js";
 import { Verdict } from "../common/Verdict.js";
@@ -9,18 +10,25 @@
 import type { PlannedJob } from "./PlannedJob.js";
 
 const TICKET_BATCH = 100;
-const MAX_RESUBMISSIONS = 5;
 const RESUBMISSION_PAUSE_MS = 200;
 
 /** Time after the deadline in which an answer still counts as given. */
 const GRACE_MS = 5000;
 
+const DEAD_TICKET_CODES: ReadonlySet<string> = new Set([
+    FaultCode.IssuerLost,
+    FaultCode.IssuerFenced,
+    FaultCode.TicketExpired,
+    FaultCode.NoAgents,
+    FaultCode.Draining,
+]);
+
 interface HttpReply {
     readonly status: number;
     readonly body: unknown;
 }
 
-type Ending = Pick<JobResult, "outcome" | "code" | "resubmissions" | "verdicts" | "executions">;
+type Ending = Pick<JobResult, "ticket" | "outcome" | "code" | "resubmissions" | "verdicts" | "executions">;
 
 /** Caller of a load run: fetches tickets ahead, submits jobs through all entries in turn, resubmits when one dies. */
 export class LoadClient {
@@ -58,18 +66,23 @@
         const giveUpAt = performance.now() + deadlineMs + GRACE_MS;
         let resubmissions = 0;
         let ticket: string | undefined;
-        while (performance.now() < giveUpAt && resubmissions <= MAX_RESUBMISSIONS) {
+        while (performance.now() < giveUpAt) {
             try {
                 ticket ??= await this.takeTicket(job.team);
                 const reply = await this.post(job.team, "/v1/jobs", this.bodyOf(job, ticket, deadlineMs), giveUpAt);
-                return toEnding(reply, resubmissions);
+                if (!needsNewTicket(reply)) {
+                    return { ticket, resubmissions, ...toEnding(reply) };
+                }
+                this.tickets.delete(job.team);
+                ticket = undefined;
             }
             catch {
-                resubmissions += 1;
-                await new Promise(resolve => setTimeout(resolve, RESUBMISSION_PAUSE_MS));
+                // The entry is gone or has no tickets now; the same ticket may be submitted again through another one.
             }
+            resubmissions += 1;
+            await new Promise(resolve => setTimeout(resolve, RESUBMISSION_PAUSE_MS));
         }
-        return { outcome: JobOutcome.Lost, code: undefined, resubmissions, verdicts: [], executions: [] };
+        return { ticket, outcome: JobOutcome.Lost, code: undefined, resubmissions, verdicts: [], executions: [] };
     }
 
     private bodyOf(job: PlannedJob, ticket: string, deadlineMs: number): unknown {
@@ -79,7 +92,7 @@
             deadlineMs,
             wait: true,
             tasks: job.tasks.map(task => ({
-                payload: { runMs: task.runMs },
+                payload: { runMs: task.runMs, timed: true },
                 sizeMs: task.declaredMs,
                 repeatable: task.repeatable,
             })),
@@ -136,26 +149,33 @@
                 "authorization": `Bearer ${this.target.tokens.get(team) ?? ""}`,
             },
             body: JSON.stringify(body),
-            signal: AbortSignal.timeout(Math.max(1, giveUpAt - performance.now())),
+            signal: AbortSignal.timeout(Math.max(1, Math.ceil(giveUpAt - performance.now()))),
         });
         return { status: response.statusCode, body: await response.body.json() };
     }
 }
 
-function toEnding(reply: HttpReply, resubmissions: number): Ending {
+/** True when nothing of the job was run because its ticket is of no more use; its caller submits it under another one. */
+function needsNewTicket(reply: HttpReply): boolean {
+    const answer = reply.body as Answer & { readonly error?: { readonly code: string; }; };
+    const code = answer.error?.code ?? answer.reason?.code ?? "";
+    return answer.verdict === Verdict.NotRun && DEAD_TICKET_CODES.has(code);
+}
+
+function toEnding(reply: HttpReply): Omit<Ending, "ticket" | "resubmissions"> {
     const answer = reply.body as Answer & { readonly error?: { readonly code: string; }; };
     if (answer.error !== undefined) {
         const refused = answer.verdict === Verdict.NotRun;
         const outcome = refused ? JobOutcome.Refused : JobOutcome.Failed;
-        return { outcome, code: answer.error.code, resubmissions, verdicts: [], executions: [] };
+        return { outcome, code: answer.error.code, verdicts: [], executions: [] };
     }
     if (answer.state === JobState.Complete) {
         const executions = answer.tasks.map(task => ({
             task: task.index,
             ...(task.output as Omit<Execution, "task">),
         }));
-        return { outcome: JobOutcome.Complete, code: undefined, resubmissions, verdicts: [], executions };
+        return { outcome: JobOutcome.Complete, code: undefined, verdicts: [], executions };
     }
     const verdicts = answer.tasks.map(task => task.verdict);
-    return { outcome: JobOutcome.Failed, code: answer.reason?.code, resubmissions, verdicts, executions: [] };
+    return { outcome: JobOutcome.Failed, code: answer.reason?.code, verdicts, executions: [] };
 }
--- a/src/bench/Report.ts
+++ b/src/bench/Report.ts
@@ -22,18 +22,24 @@
         readonly planned: number;
         readonly ran: number;
         readonly mayHaveRun: number;
-        /** Tasks that an endpoint started more than once; undefined against processes of others. */
+        /** Tasks started more than once although not repeatable, or twice as the same attempt; must be 0. */
         readonly duplicates: number | undefined;
+        /** Repeatable tasks that were started again after they had run and failed. */
+        readonly retried: number | undefined;
         /** Tasks that failed at the faulty worker after its first ten. */
         readonly lostToFault: number | undefined;
     };
+    /** Time from the injected fault to the arrival of the last job that was not completed; 0 when all were. */
+    readonly disturbedMs: number | undefined;
     readonly classes: readonly ClassReport[];
     /** Wait of short single-task jobs: response less run time. */
     readonly shortWait: Distribution;
     readonly messages: {
-        /** Messages between processes per started task, without those of the tickets and jobs of callers. */
+        /** Messages between processes per started task; the HTTP of callers and endpoints is not counted. */
         readonly perTask: number;
+        /** Without two per task between entry and agent and two per relayed job between entries. */
         readonly beyondNecessaryPerTask: number;
+        readonly relayedJobs: number;
         readonly byKind: Readonly<Record<string, number>>;
     };
     readonly crest: CrestReport | undefined;
--- a/src/bench/createReport.ts
+++ b/src/bench/createReport.ts
@@ -1,5 +1,6 @@
 import { Verdict } from "../common/Verdict.js";
 import { idealResponses } from "./idealResponses.js";
+import { Injection } from "./Injection.js";
 import { JobClass } from "./JobClass.js";
 import { JobOutcome } from "./JobOutcome.js";
 import type { JobResult } from "./JobResult.js";
@@ -13,8 +14,8 @@
 /** A load tool that sends later than this has distorted the run. */
 const MAX_LAG_P99_MS = 20;
 
-/** Messages that a started task needs: its start and its outcome. */
-const NECESSARY_MESSAGES_PER_TASK = 2;
+/** Messages that a hop needs: start and outcome of a task, call and reply of a relayed job. */
+const NECESSARY_MESSAGES_PER_HOP = 2;
 
 /** Evaluates a load run against the ideal and the stated targets. */
 export function createReport(run: LoadRun): Report {
@@ -29,6 +30,7 @@
         jobs: countJobs(run.results),
         codes: countCodes(run.results),
         tasks: countTasks(run),
+        disturbedMs: disturbedMs(run),
         classes: reportClasses(counted, ideal),
         shortWait: summarize(counted.filter(isCompleteShort).map(waitOf)),
         messages: reportMessages(run),
@@ -67,11 +69,22 @@
         planned: run.results.reduce((sum, result) => sum + result.job.tasks.length, 0),
         ran: executed + verdicts.filter(verdict => verdict === Verdict.Ran).length,
         mayHaveRun: verdicts.filter(verdict => verdict === Verdict.MayHaveRun).length,
-        duplicates: run.duplicates,
+        duplicates: run.repeated?.duplicates,
+        retried: run.repeated?.retried,
         lostToFault: run.lostToFault,
     };
 }
 
+function disturbedMs({ scenario, results }: LoadRun): number | undefined {
+    if (scenario.injection === Injection.None) {
+        return undefined;
+    }
+    const disturbed = results
+        .filter(result => result.outcome !== JobOutcome.Complete && result.job.at >= scenario.injectAtMs)
+        .map(result => result.job.at - scenario.injectAtMs);
+    return Math.max(0, ...disturbed);
+}
+
 function isCompleteShort(result: JobResult): boolean {
     return result.outcome === JobOutcome.Complete && result.job.jobClass === JobClass.ShortSingle;
 }
@@ -83,10 +96,11 @@
 function reportMessages(run: LoadRun): Report["messages"] {
     const total = [...run.messages.values()].reduce((sum, count) => sum + count, 0);
     const started = run.messages.get("start") ?? 0;
-    const perTask = started === 0 ? 0 : total / started;
+    const necessary = NECESSARY_MESSAGES_PER_HOP * (started + run.relayedJobs);
     return {
-        perTask,
-        beyondNecessaryPerTask: perTask - NECESSARY_MESSAGES_PER_TASK,
+        perTask: started === 0 ? 0 : total / started,
+        beyondNecessaryPerTask: started === 0 ? 0 : (total - necessary) / started,
+        relayedJobs: run.relayedJobs,
         byKind: Object.fromEntries(run.messages),
     };
 }
--- a/src/bench/formatReport.ts
+++ b/src/bench/formatReport.ts
@@ -9,14 +9,18 @@
         `jobs: ${jobs.planned} planned, ${jobs.complete} complete, ${jobs.failed} failed, ${jobs.refused} refused, `
         + `${jobs.lost} lost`,
         `tasks: ${tasks.planned} planned, ${tasks.ran} ran, ${tasks.mayHaveRun} may have run, `
-        + `${tasks.duplicates ?? "unknown"} started twice, ${tasks.lostToFault ?? 0} lost to the fault`,
+        + `${tasks.duplicates ?? "unknown"} started twice, ${tasks.retried ?? "unknown"} retried, ${
+            tasks.lostToFault ?? 0
+        } lost to the fault`,
         `codes: ${JSON.stringify(report.codes)}`,
         "",
         row(["class", "jobs", "mean ms", "ideal", "ratio", "p50 ms", "ideal", "p99 ms", "ideal", "ratio"]),
         ...report.classes.map(formatClass),
         "",
         `wait of short tasks: p50 ${ms(report.shortWait.p50)} ms, p99 ${ms(report.shortWait.p99)} ms`,
-        `messages per task: ${messages.perTask.toFixed(3)} (${messages.beyondNecessaryPerTask.toFixed(3)} beyond two) `
+        `messages per task: ${messages.perTask.toFixed(3)} (${
+            messages.beyondNecessaryPerTask.toFixed(3)
+        } beyond two per hop, ${messages.relayedJobs} jobs relayed) `
         + JSON.stringify(messages.byKind),
     ];
     if (crest !== undefined) {
@@ -26,6 +30,9 @@
                 + crest.teams.map(team => `${team.team} ${team.shareOfFair.toFixed(2)}`).join(", "),
         );
     }
+    if (report.disturbedMs !== undefined) {
+        lines.push(`last job not completed arrived ${ms(report.disturbedMs)} ms after the fault`);
+    }
     lines.push(
         `load tool: lag p99 ${ms(report.lag.p99)} ms${report.toolWasLimit ? " (the tool was the limit)" : ""}`,
         "",
--- a/src/common/wire/FrameCodec.ts
+++ b/src/common/wire/FrameCodec.ts
@@ -2,16 +2,23 @@
 import { Fault } from "../Fault.js";
 import { FaultCode } from "../FaultCode.js";
 import { findBodyFault } from "./findBodyFault.js";
+import type { Message } from "./Message.js";
 
 const LENGTH_BYTES = 4;
 
+/** Sign of life of an idle connection: 4 bytes, because an entry sends and receives one a second for each agent. */
+const ALIVE: Message = { kind: "alive" };
+
 /** Largest body of a frame in bytes. */
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
 /** Received chunks are joined beyond this count, because each costs memory of its own however small it is. */
 const MAX_CHUNKS = 256;
 
-/** Splits a byte stream into frames (4-byte big-endian length, CBOR body) and encodes values as frames. */
+/**
+ * Splits a byte stream into frames (4-byte big-endian length, CBOR body) and encodes values as frames. An empty body is
+ * the message `alive`.
+ */
 export class FrameCodec {
     private chunks: Buffer[] = [];
     private buffered = 0;
@@ -23,7 +30,7 @@
 
     /** Returns `value` as one frame; throws a `too_large` fault when it exceeds the frame limit. */
     public static encode(value: unknown): Buffer {
-        const body = encode(value);
+        const body = isAlive(value) ? Buffer.alloc(0) : encode(value);
         if (body.length > MAX_FRAME_BYTES) {
             throw new Fault(FaultCode.TooLarge, `frame of ${body.length} bytes exceeds ${MAX_FRAME_BYTES} bytes`);
         }
@@ -88,7 +95,14 @@
     }
 }
 
+function isAlive(value: unknown): boolean {
+    return typeof value === "object" && value !== null && "kind" in value && value.kind === ALIVE.kind;
+}
+
 function decodeBody(body: Buffer): unknown {
+    if (body.length === 0) {
+        return ALIVE;
+    }
     const fault = findBodyFault(body);
     if (fault !== undefined) {
         throw new Fault(FaultCode.Protocol, `frame body is not a valid message: ${fault}`);
--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -51,6 +51,8 @@
     readonly task: number;
     readonly attempt: number;
     readonly payload: unknown;
+    /** Short digest of the submission; agents keep it with the records of the ticket. */
+    readonly digest: string;
     /** Time left until the job's deadline, in milliseconds. */
     readonly budgetMs: number;
     readonly repeatable: boolean;
@@ -100,6 +102,8 @@
     readonly kind: "records";
     /** False when records of this ticket may have been dropped. */
     readonly complete: boolean;
+    /** Digest of the submission whose tasks are on record; absent when no task was started here. */
+    readonly digest?: string | undefined;
     readonly tasks: readonly TaskRecord[];
 }
 
@@ -109,13 +113,20 @@
     readonly issuer: string;
 }
 
-/** Both ways on an attached connection, once a second. */
+/** Both ways on an attached connection that was silent for a second, when there is something new to tell. */
 interface Heartbeat {
     readonly kind: "heartbeat";
     /** Entry: tasks waiting for a slot. Agent: tasks running. */
     readonly load: number;
-    /** Configuration revision in force at the sender, 0 for none. */
+    /** Document revision in force at the sender, 0 for none; an agent without the whole document keeps telling an old one. */
     readonly revision: number;
+    /** Agent: revision of the section of its service. */
+    readonly section?: number | undefined;
+}
+
+/** Both ways on an attached connection that was silent for a second; a frame without a body. */
+interface Alive {
+    readonly kind: "alive";
 }
 
 /** Agent to entry: no new starts from now on; running tasks end and are reported. */
@@ -128,6 +139,10 @@
 interface Members {
     readonly kind: "members";
     readonly rows: readonly Member[];
+    /** Members whose rows the receiver may know, as triples: tag, counter, and twice the revision plus 1 when draining. */
+    readonly beats?: readonly number[] | undefined;
+    /** Tags from `beats` of the message that this one answers, whose rows the sender lacks. */
+    readonly unknown?: readonly number[] | undefined;
 }
 
 /** Either side: asks for the configuration sections that were changed after document revision `since`. */
@@ -145,6 +160,8 @@
         readonly revision: number;
         readonly body: unknown;
     }[];
+    /** True when only the section of the receiver's service is contained; `revision` then says nothing of the others. */
+    readonly partial?: boolean | undefined;
 }
 
 /** Entry to entry: a request that its peer answers with one `reply`. */
@@ -194,6 +211,7 @@
     | Records
     | Fenced
     | Heartbeat
+    | Alive
     | Drain
     | Members
     | Pull
--- a/src/entry/controllers/Agents.test.ts
+++ b/src/entry/controllers/Agents.test.ts
@@ -47,18 +47,21 @@
     let clock: VirtualClock;
     let agents: Agents;
     let kinds: string[];
+    let queued: number;
     let dial: () => Promise<Channel>;
 
     beforeEach(() => {
         clock = new VirtualClock();
         kinds = [];
+        queued = 3;
         dial = () => Promise.reject(new Fault("protocol", "connect timed out"));
         agents = new Agents({
             clock,
             log: new SilentLog(),
+            region: "r",
             members: { live: () => [], home: () => undefined, onChange: new Emitter<void>().event },
             dial: () => dial(),
-            queued: () => 3,
+            queued: () => queued,
             revision: () => 1,
         });
         agents.onEvent(event => kinds.push(event.kind));
@@ -94,6 +97,34 @@
         assert.equal(channel.open, true);
     });
 
+    it("guards against signs of life beside starts, against silence, and against an untold load", () => {
+        const channel = attach();
+        const beats = () => channel.sent.filter(({ kind }) => kind === "heartbeat" || kind === "alive");
+        const start = {
+            kind: "start",
+            issuer: "e",
+            sequence: 1,
+            task: 0,
+            attempt: 1,
+            payload: 0,
+            digest: "d",
+        } as const;
+        for (let step = 0; step < 20; step++) {
+            agents.send("i1", { ...start, budgetMs: 1, repeatable: false, queued: 7 });
+            channel.messages.fire({ kind: "credit", count: 1 });
+            clock.advance(500);
+        }
+        assert.deepEqual(beats(), []);
+        clock.advance(1250);
+        assert.deepEqual(beats(), [{ kind: "heartbeat", load: 3, revision: 1 }]);
+        clock.advance(1000);
+        assert.equal(beats().length, 2);
+        queued = 0;
+        channel.messages.fire({ kind: "alive" });
+        clock.advance(2000);
+        assert.deepEqual(beats().slice(2), [{ kind: "heartbeat", load: 0, revision: 1 }, { kind: "alive" }]);
+    });
+
     it("guards against declaring an agent lost that is only unreachable", async () => {
         attach().close("cut");
         await advance(0);
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -16,11 +16,23 @@
 import type { AgentNotice } from "./AgentNotice.js";
 import { AgentSession } from "./AgentSession.js";
 import type { Dialer } from "./Dialer.js";
-import { isRefused } from "./isRefused.js";
+import { isGone } from "./isGone.js";
 
+/** Longest time without a message that tells the load, give or take one look. */
 const HEARTBEAT_MS = 1000;
+
+/** Time between two looks at the attached agents. */
+const LOOK_MS = 250;
+
 const MISSED_HEARTBEATS = 3;
-const PROBE_INTERVAL_MS = 1000;
+/** Time from the first probe of a lost agent to the second; it doubles with each further probe. */
+const FIRST_PROBE_INTERVAL_MS = 1000;
+
+/** One probe a second for every agent that moved to another home was 9 connections per agent in 9 s at rest. */
+const MAX_PROBE_INTERVAL_MS = 10_000;
+
+/** Time for an agent to attach; agents that only look for entries close their connections within a few seconds. */
+const ATTACH_LIMIT_MS = 10_000;
 
 /** Probes of a lost agent end after this time; jobs that wait for it end by their own deadlines. */
 const PROBE_LIMIT_MS = 600_000;
@@ -28,6 +40,8 @@
 interface Parts {
     readonly clock: Clock;
     readonly log: Log;
+    /** Region of this entry; agents of other regions are refused. */
+    readonly region: string;
     readonly members: MemberView;
     readonly dial: Dialer;
     /** Tasks waiting for a slot of the service, reported with each heartbeat. */
@@ -57,7 +71,11 @@
     /** Takes over a channel from an agent; agents that only look for entries never attach. */
     public accept(channel: Channel): void {
         this.channels.add(channel);
+        const cancelLimit = this.parts.clock.schedule(ATTACH_LIMIT_MS, () => {
+            this.closeUnattached(channel);
+        });
         channel.onClose(reason => {
+            cancelLimit();
             this.channels.delete(channel);
             this.detach(channel, reason);
         });
@@ -68,7 +86,7 @@
     }
 
     public send(agent: string, message: Message): boolean {
-        return this.sessions.get(agent)?.channel.send(message) ?? false;
+        return this.sessions.get(agent)?.send(message) ?? false;
     }
 
     public mayRun(agent: string): boolean {
@@ -87,8 +105,10 @@
     public all(): readonly AttachedAgent[] {
         return [...this.sessions.values()].map(session => ({
             id: session.peer.id,
+            service: session.service,
             revision: session.revision,
-            send: message => session.channel.send(message),
+            section: session.section,
+            send: message => session.send(message),
         }));
     }
 
@@ -161,8 +181,9 @@
             .with({ kind: "revoked" }, report => {
                 this.events.fire({ kind: "revoked", service, agent, report });
             })
-            .with({ kind: "heartbeat" }, ({ revision }) => {
+            .with({ kind: "heartbeat" }, ({ revision, section }) => {
                 session.revision = revision;
+                session.section = section ?? 0;
             })
             .with({ kind: "configuration" }, { kind: "pull" }, state => {
                 const reply = (answer: Message) => session.channel.send(answer);
@@ -180,9 +201,10 @@
     }
 
     private attach(channel: Channel, message: MessageOf<"attach">): void {
-        if (this.draining && !this.probes.has(channel.peer.incarnation)) {
-            this.parts.log.write(EntryEvent.AttachRefused, { agent: channel.peer.id, reason: "draining" });
-            channel.send({ kind: "attached", accepted: false, reason: "draining" });
+        const refusal = this.refuseAttach(channel);
+        if (refusal !== undefined) {
+            this.parts.log.write(EntryEvent.AttachRefused, { agent: channel.peer.id, reason: refusal });
+            channel.send({ kind: "attached", accepted: false, reason: refusal });
             return;
         }
         const { incarnation } = channel.peer;
@@ -192,13 +214,27 @@
         }
         older?.channel.close("replaced by a newer attachment");
         this.stopProbe(incarnation);
-        const session = new AgentSession(channel, message, this.parts.clock.now());
+        const session = new AgentSession(channel, message, this.parts.clock);
         this.sessions.set(incarnation, session);
         this.parts.log.write(EntryEvent.AgentAttached, { agent: channel.peer.id, service: message.service });
         channel.send({ kind: "attached", accepted: true });
         this.events.fire({ kind: "attached", service: session.service, agent: incarnation, profile: session.profile });
     }
 
+    private refuseAttach({ peer }: Channel): string | undefined {
+        if (peer.region !== this.parts.region) {
+            return `the agent is in region ${peer.region}, this entry is in region ${this.parts.region}`;
+        }
+        return this.draining && !this.probes.has(peer.incarnation) ? "draining" : undefined;
+    }
+
+    private closeUnattached(channel: Channel): void {
+        if (this.sessions.get(channel.peer.incarnation)?.channel !== channel) {
+            this.parts.log.write(EntryEvent.AgentIdle, { agent: channel.peer.id, limitMs: ATTACH_LIMIT_MS });
+            channel.close("not attached in time");
+        }
+    }
+
     private detach(channel: Channel, reason: string): void {
         const session = this.sessions.get(channel.peer.incarnation);
         if (session?.channel !== channel) {
@@ -218,7 +254,7 @@
             return;
         }
         const cancel = this.parts.clock.schedule(delayMs, () => {
-            void this.isGone(session).then(gone => {
+            void isGone(this.parts.dial, session.peer).then(gone => {
                 if (this.probes.get(agent) !== cancel) {
                     return;
                 }
@@ -226,7 +262,8 @@
                     this.reportLost(session);
                 }
                 else {
-                    this.scheduleProbe(session, PROBE_INTERVAL_MS, until);
+                    const nextMs = Math.max(FIRST_PROBE_INTERVAL_MS, Math.min(MAX_PROBE_INTERVAL_MS, 2 * delayMs));
+                    this.scheduleProbe(session, nextMs, until);
                 }
             });
         });
@@ -245,20 +282,8 @@
         this.events.fire({ kind: "lost", service: session.service, agent });
     }
 
-    private async isGone(session: AgentSession): Promise<boolean> {
-        try {
-            const channel = await this.parts.dial(session.peer.address);
-            const gone = channel.peer.incarnation !== session.peer.incarnation;
-            channel.close("probe");
-            return gone;
-        }
-        catch (error) {
-            return isRefused(error);
-        }
-    }
-
     private scheduleHeartbeat(): void {
-        this.cancelHeartbeat = this.parts.clock.schedule(HEARTBEAT_MS, () => {
+        this.cancelHeartbeat = this.parts.clock.schedule(LOOK_MS, () => {
             this.scheduleHeartbeat();
             this.beat();
         });
@@ -273,7 +298,7 @@
                 session.channel.dispose();
                 continue;
             }
-            session.channel.send({ kind: "heartbeat", load: this.parts.queued(session.service), revision });
+            session.beat(this.parts.queued(session.service), revision, HEARTBEAT_MS);
         }
     }
 }
--- a/src/entry/policy/ExpectedWaitAdmission.ts
+++ b/src/entry/policy/ExpectedWaitAdmission.ts
@@ -18,6 +18,10 @@
 const MAX_STANDING_WAIT_MS = 1500;
 /** Overload is lasting when the expected wait has stayed above half of its bound for this time. */
 const STANDING_AFTER_MS = 2000;
+/** A caller with a distant deadline prefers waiting for this part of the time to it over a refusal. */
+const PATIENCE_SHARE = 0.15;
+/** Jobs of less work than this part of the time to the deadline delay others too little to be refused for it. */
+const TINY_SHARE = 0.001;
 const MIN_RATE_PER_MS = 1e-6;
 const MIN_RETRY_AFTER_MS = 50;
 const NO_AGENTS_RETRY_AFTER_MS = 1000;
@@ -68,11 +72,22 @@
             const message = `expected wait ${Math.round(wait)} ms exceeds the deadline`;
             return refusal(FaultCode.Overloaded, message, Math.min(wait, lateBy));
         }
+        const delayMs = this.waitMs(demand.jobMs, demand, demand.teamShare);
+        const isTiny = delayMs < (job.deadlineAt - now) * TINY_SHARE;
+        if (delayMs > demand.teamSlackMs && !isTiny) {
+            const message = `${Math.round(delayMs)} ms of work would make an admitted job of the team late`;
+            return refusal(FaultCode.Overloaded, message, delayMs);
+        }
         const standing = now - this.lastCalmAt > STANDING_AFTER_MS;
-        const bound = standing ? MAX_STANDING_WAIT_MS : MAX_BURST_WAIT_MS;
+        const patience = (job.deadlineAt - now) * PATIENCE_SHARE;
+        const bound = Math.max(patience, standing ? MAX_STANDING_WAIT_MS : MAX_BURST_WAIT_MS);
         return wait <= bound
             ? undefined
-            : refusal(FaultCode.Overloaded, `expected wait ${Math.round(wait)} ms exceeds ${bound} ms`, wait - bound);
+            : refusal(
+                FaultCode.Overloaded,
+                `expected wait ${Math.round(wait)} ms exceeds ${Math.round(bound)} ms`,
+                wait - bound,
+            );
     }
 
     /**
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -25,6 +25,9 @@
 /** A task is overdue after this multiple of its class's p99. */
 const OVERDUE_FACTOR = 4;
 
+/** Agents above this ratio get the shorter tasks of a job, so that its longest task does not end long after the others. */
+const SLOW_RATIO = 1.2;
+
 /** Late binding with fair shares between teams, least remaining work within them, and the fastest free agent. */
 export class FairScheduler implements Scheduler {
     private readonly policies: FairPolicies;
@@ -106,14 +109,16 @@
             return undefined;
         }
         const slots = this.agents.free + this.runningTasks.size;
+        this.backlog.setSlots(slots);
+        const accepting = this.agents.accepting(now);
         const reserved = this.limits?.reservedShare ?? 0;
         const { placement } = this.policies;
         const entry = this.backlog.next(
-            group => this.agents.hasCandidate(group, now),
+            group => accepting.some(agent => group.agents.has(agent.profile.id)),
             sizeClass => placement.allows(sizeClass, this.runningTasks.byClass, slots, reserved),
             slots,
         );
-        return entry === undefined ? undefined : this.start(entry, now);
+        return entry === undefined ? undefined : this.start(entry, accepting, now);
     }
 
     public report(report: AttemptReport, now: number): Disposition {
@@ -168,14 +173,16 @@
         return { agents, teams };
     }
 
-    private start(entry: TaskEntry, now: number): Assignment | undefined {
-        const { health, placement, retry, sizes } = this.policies;
-        const candidates = this.agents.candidates(entry.job.group, now);
+    private start(first: TaskEntry, accepting: readonly AgentEntry[], now: number): Assignment | undefined {
+        const { health, placement, retry, sizes, speed } = this.policies;
+        const candidates = accepting.filter(agent => first.job.group.agents.has(agent.profile.id));
         const probe = candidates.find(candidate => health.probeDue(candidate.profile.id, now));
-        const agent = probe ?? placement.pick(candidates, entry.agent?.profile.id);
+        const agent = probe ?? placement.pick(candidates, first.agent?.profile.id);
         if (agent === undefined) {
             return undefined;
         }
+        const isSlow = speed.ratio(agent.profile.id) > SLOW_RATIO;
+        const entry = isSlow ? this.backlog.shortest(first) : first;
         this.backlog.take(entry, TaskPhase.Running);
         this.backlog.charge(entry, entry.expectedMs);
         this.agents.addCredits(agent, -1);
@@ -189,7 +196,8 @@
         if (entry.task.attempt === 1) {
             retry.started();
         }
-        const reason = probe === undefined ? `fastest of ${candidates.length} free` : "probe of ejected agent";
+        const fastest = `fastest of ${candidates.length} free${isSlow ? ", slow: smallest task of the job" : ""}`;
+        const reason = probe === undefined ? fastest : "probe of ejected agent";
         return { task: entry.task, agent: agent.profile.id, reason };
     }
 
@@ -208,8 +216,9 @@
         const id = agent.profile.id;
         const attempt = attemptKey(report);
         if (report.verdict === Verdict.Ran && report.ok) {
+            const averageMs = report.runMs / speed.ratio(id);
             speed.observe(id, sizes.expectedMs(entry.task), report.runMs);
-            sizes.observe(entry.task, report.runMs);
+            sizes.observe(entry.task, averageMs);
             admission.finished(entry.expectedMs, this.agents.free + this.running, this.queued > 0, now);
             health.succeeded(id, attempt);
             agent.refusals = 0;
@@ -235,7 +244,9 @@
             agent.restsUntil = now + retry.afterRefusal(agent.refusals);
         }
         const succeeded = report.verdict === Verdict.Ran && report.ok;
-        const mayRepeat = report.verdict === Verdict.NotRun || entry.task.repeatable;
+        // An attempt of unknown fate may still be running, so even a repeatable task is not started again after it.
+        const mayRepeat = report.verdict === Verdict.NotRun
+            || (report.verdict === Verdict.Ran && entry.task.repeatable);
         const gone = entry.withdrawn || entry.job.withdrawn || now >= entry.task.deadlineAt;
         if (succeeded || !mayRepeat || gone) {
             return undefined;
@@ -263,12 +274,14 @@
         const team = this.backlog.teams.peek(job.team);
         const expected = job.tasks.map(task => this.policies.sizes.expectedMs(task));
         const jobMs = expected.reduce((sum, ms) => sum + ms, 0);
+        const key = this.policies.order.key(jobMs, now);
         return {
             queued: this.backlog.queued,
             queuedMs: this.backlog.queuedMs,
             teamTasks: team.queued + team.running,
             teamQueuedMs: team.queuedMs,
-            teamBeforeMs: this.backlog.teams.workBefore(team, this.policies.order.key(jobMs, now)),
+            teamBeforeMs: this.backlog.teams.workBefore(team, key),
+            teamSlackMs: this.backlog.slackMs(team, key, now),
             teamClaimMs: this.policies.fairShare.claim(team.name) * team.weight,
             teamShare: this.backlog.teams.share(team),
             ...this.agents.capacity(job.agents),
--- a/src/entry/policy/trial/main.ts
+++ b/src/entry/policy/trial/main.ts
@@ -6,7 +6,8 @@
 import type { SchedulerLimits } from "../SchedulerLimits.js";
 import { TwoChoicesScheduler } from "../TwoChoicesScheduler.js";
 import { idealPolicies } from "./idealPolicies.js";
-import { type JobKind, makeJobs } from "./makeJobs.js";
+import type { JobKind } from "./JobKind.js";
+import { makeJobs } from "./makeJobs.js";
 import { percentile } from "./percentile.js";
 import { simulate } from "./simulate.js";
 import type { TrialCluster } from "./TrialCluster.js";
@@ -104,7 +105,9 @@
 
 function print(fields: Record<string, string | number>): void {
     const text = Object.entries(fields).map(([name, value]) => {
-        return `${name}=${typeof value === "number" ? value.toFixed(Math.abs(value) < 20 ? 3 : 0) : value}`;
+        return `${name}=${
+            typeof value === "string" || Number.isInteger(value) ? value : value.toFixed(Math.abs(value) < 20 ? 3 : 0)
+        }`;
     });
     process.stdout.write(`${text.join(" ")}\n`);
 }
--- a/src/test/ticketModel.test.ts
+++ b/src/test/ticketModel.test.ts
@@ -227,7 +227,7 @@
     private begin(agent: ModelAgent, key: AttemptKey): void {
         const decision = agent.records.judge(key, false);
         if (decision.kind === "start") {
-            agent.records.begin(key, false);
+            agent.records.begin(key, false, "digest");
             agent.running.push(key);
             const state = this.tasks[key.task]!;
             state.starts += 1;
