Share connections to agents among settlements, and split probes, state and bench options

Change: SharedChannels lends one connection per agent to all settlements, closes it after 5 s without use and connects anew after an agent did not answer; AgentProbes, EntryState and BenchOptions stand in files of their own. Conclusion: settling a lost issuer's jobs costs connections by agents, not by jobs.

--- a/src/cli/commands/bench.ts
+++ b/src/cli/commands/bench.ts
@@ -5,19 +5,10 @@
 import { PROFILES } from "../../bench/PROFILES.js";
 import { runLoad } from "../../bench/runLoad.js";
 import { SCENARIOS } from "../../bench/SCENARIOS.js";
+import type { BenchOptions } from "../BenchOptions.js";
 import { ExitCode } from "../ExitCode.js";
 import type { Terminal } from "../Terminal.js";
 
-interface BenchOptions {
-    readonly profile: string;
-    readonly scenario: string;
-    readonly scheduler: readonly string[];
-    readonly seed: number;
-    readonly report?: string;
-    readonly entry?: readonly string[];
-    readonly token?: readonly string[];
-}
-
 /** Runs a load scenario once for each scheduler and prints the reports; fails when a target is missed. */
 export async function bench(terminal: Terminal, options: BenchOptions): Promise<ExitCode> {
     const profile = PROFILES[options.profile];
--- a/src/cli/registerBench.ts
+++ b/src/cli/registerBench.ts
@@ -1,18 +1,9 @@
 import type { Command } from "commander";
+import type { BenchOptions } from "./BenchOptions.js";
 import type { ExitCode } from "./ExitCode.js";
 import { parseWhole } from "./parseWhole.js";
 import type { Terminal } from "./Terminal.js";
 
-interface BenchOptions {
-    readonly profile: string;
-    readonly scenario: string;
-    readonly scheduler: readonly string[];
-    readonly seed: number;
-    readonly report?: string;
-    readonly entry?: readonly string[];
-    readonly token?: readonly string[];
-}
-
 /** Adds the load tool. */
 export function registerBench(program: Command, terminal: Terminal, finish: (code: ExitCode) => void): void {
     program.command("bench")
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -8,15 +8,17 @@
 import type { Identity } from "../common/wire/Identity.js";
 import { Listener } from "../common/wire/Listener.js";
 import { Role } from "../common/wire/Role.js";
-import { assembleState, type EntryState } from "./assembleState.js";
+import { assembleState } from "./assembleState.js";
 import { Agents } from "./controllers/Agents.js";
 import { Jobs } from "./controllers/Jobs.js";
 import { Relay } from "./controllers/Relay.js";
 import { Settlement } from "./controllers/Settlement.js";
+import { SharedChannels } from "./controllers/SharedChannels.js";
 import { Stories } from "./controllers/Stories.js";
 import { Tickets } from "./controllers/Tickets.js";
 import { EntryEvent } from "./EntryEvent.js";
 import { EntryIdentity } from "./EntryIdentity.js";
+import type { EntryState } from "./EntryState.js";
 import { TokenIndex } from "./filters/TokenIndex.js";
 import { HttpServer } from "./HttpServer.js";
 import { OwnedClock } from "./OwnedClock.js";
@@ -42,6 +44,7 @@
     private readonly stories: Stories;
     private readonly agents: Agents;
     private readonly tickets: Tickets;
+    private readonly agentChannels: SharedChannels;
     private readonly settlement: Settlement;
     private readonly jobs: Jobs;
     private readonly relay: Relay;
@@ -72,7 +75,9 @@
         const dialer = (address: string) => dial(address, ownIdentity.current, settings.secret, log, metrics);
         const codec = new TicketCodec(settings.secret);
         this.stories = new Stories(settings.id, log);
-        this.settlement = new Settlement({ clock, dial: dialer, stories: this.stories });
+        this.agentChannels = new SharedChannels(clock, dialer);
+        const lease = (address: string) => this.agentChannels.lease(address);
+        this.settlement = new Settlement({ clock, dial: lease, stories: this.stories });
         this.agents = new Agents({
             clock,
             log,
@@ -154,6 +159,7 @@
 
     public dispose(): Promise<void> {
         this.sockets?.http.abort();
+        this.agentChannels.dispose();
         this.agents.dispose();
         this.jobs.dispose();
         this.state.dispose();
--- a/src/entry/assembleState.ts
+++ b/src/entry/assembleState.ts
@@ -1,36 +1,18 @@
-import type { Hono } from "hono";
 import { ConfigurationStore } from "../common/configuration/ConfigurationStore.js";
-import type { Disposable } from "../common/Disposable.js";
 import { DisposableStore } from "../common/DisposableStore.js";
 import type { Runtime } from "../common/Runtime.js";
 import type { EntrySettings } from "../common/settings/EntrySettings.js";
 import { HttpTable } from "../common/table/HttpTable.js";
-import type { Channel } from "../common/wire/Channel.js";
 import { Role } from "../common/wire/Role.js";
 import type { AttachedAgents } from "./AttachedAgents.js";
 import { Configuration } from "./controllers/Configuration.js";
 import { Membership } from "./controllers/Membership.js";
 import { Peers } from "./controllers/Peers.js";
 import type { EntryIdentity } from "./EntryIdentity.js";
+import type { EntryState } from "./EntryState.js";
 import type { TokenIndex } from "./filters/TokenIndex.js";
 import { configurationRoutes } from "./routes/configurationRoutes.js";
 
-/** Parts of an entry that know other entries and the configuration. */
-export interface EntryState extends Disposable {
-    readonly peers: Peers;
-    readonly members: Membership;
-    readonly configuration: ConfigurationStore;
-    /** Operators' routes of the configuration. */
-    readonly routes: Hono;
-    readonly changes: Configuration;
-    /** Sees every accepted channel and takes those of other entries. */
-    accept(channel: Channel): void;
-    /** Begins to gossip and to read the configuration. */
-    start(): Promise<void>;
-    /** Marks this entry's member row as draining. */
-    drain(): void;
-}
-
 /** Assembles membership, connections between entries, and the configuration. */
 export function assembleState(
     settings: EntrySettings,
--- a/src/entry/controllers/AgentRecords.ts
+++ b/src/entry/controllers/AgentRecords.ts
@@ -71,7 +71,12 @@
             return "gone";
         }
         const step = await this.follow(channel);
-        channel.close("settled");
+        if (step === "retry") {
+            channel.dispose();
+        }
+        else {
+            channel.close("settled");
+        }
         return step;
     }
 
--- a/src/entry/controllers/Agents.ts
+++ b/src/entry/controllers/Agents.ts
@@ -14,9 +14,9 @@
 import type { MemberView } from "../MemberView.js";
 import type { AgentLink } from "./AgentLink.js";
 import type { AgentNotice } from "./AgentNotice.js";
+import { AgentProbes } from "./AgentProbes.js";
 import { AgentSession } from "./AgentSession.js";
 import type { Dialer } from "./Dialer.js";
-import { isGone } from "./isGone.js";
 
 /** Longest time without a message that tells the load, give or take one look. */
 const HEARTBEAT_MS = 1000;
@@ -25,18 +25,10 @@
 const LOOK_MS = 250;
 
 const MISSED_HEARTBEATS = 3;
-/** Time from the first probe of a lost agent to the second; it doubles with each further probe. */
-const FIRST_PROBE_INTERVAL_MS = 1000;
-
-/** One probe a second for every agent that moved to another home was 9 connections per agent in 9 s at rest. */
-const MAX_PROBE_INTERVAL_MS = 10_000;
 
 /** Time for an agent to attach; agents that only look for entries close their connections within a few seconds. */
 const ATTACH_LIMIT_MS = 10_000;
 
-/** Probes of a lost agent end after this time; jobs that wait for it end by their own deadlines. */
-const PROBE_LIMIT_MS = 600_000;
-
 interface Parts {
     readonly clock: Clock;
     readonly log: Log;
@@ -54,7 +46,7 @@
     private readonly events = new Emitter<AgentNotice>();
     private readonly sessions = new Map<string, AgentSession>();
     private readonly channels = new Set<Channel>();
-    private readonly probes = new Map<string, () => void>();
+    private readonly probes: AgentProbes;
     private readonly registrations = new DisposableStore();
     private cancelHeartbeat: () => void = () => undefined;
     private draining = false;
@@ -62,6 +54,10 @@
     public readonly onEvent = this.events.event;
 
     constructor(private readonly parts: Parts) {
+        this.probes = new AgentProbes(parts.clock, parts.dial);
+        this.probes.onGone(session => {
+            this.reportLost(session);
+        });
         this.registrations.add(parts.members.onChange(() => {
             this.sendMembers([...this.channels]);
         }));
@@ -139,10 +135,7 @@
         for (const channel of [...this.channels]) {
             channel.dispose();
         }
-        for (const cancel of this.probes.values()) {
-            cancel();
-        }
-        this.probes.clear();
+        this.probes.dispose();
     }
 
     private sendMembers(channels: readonly Channel[]): void {
@@ -213,7 +206,7 @@
             return;
         }
         older?.channel.close("replaced by a newer attachment");
-        this.stopProbe(incarnation);
+        this.probes.stop(incarnation);
         const session = new AgentSession(channel, message, this.parts.clock);
         this.sessions.set(incarnation, session);
         this.parts.log.write(EntryEvent.AgentAttached, { agent: channel.peer.id, service: message.service });
@@ -242,42 +235,12 @@
         }
         this.sessions.delete(session.peer.incarnation);
         this.parts.log.write(EntryEvent.AgentDetached, { agent: session.peer.id, reason });
-        this.scheduleProbe(session, 0, this.parts.clock.now() + PROBE_LIMIT_MS);
+        this.probes.start(session);
         this.events.fire({ kind: "detached", service: session.service, agent: session.peer.incarnation });
     }
 
-    /** Looks whether the agent still lives, until it attaches again or is certainly gone. */
-    private scheduleProbe(session: AgentSession, delayMs: number, until: number): void {
-        const agent = session.peer.incarnation;
-        if (this.parts.clock.now() >= until) {
-            this.probes.delete(agent);
-            return;
-        }
-        const cancel = this.parts.clock.schedule(delayMs, () => {
-            void isGone(this.parts.dial, session.peer).then(gone => {
-                if (this.probes.get(agent) !== cancel) {
-                    return;
-                }
-                if (gone) {
-                    this.reportLost(session);
-                }
-                else {
-                    const nextMs = Math.max(FIRST_PROBE_INTERVAL_MS, Math.min(MAX_PROBE_INTERVAL_MS, 2 * delayMs));
-                    this.scheduleProbe(session, nextMs, until);
-                }
-            });
-        });
-        this.probes.set(agent, cancel);
-    }
-
-    private stopProbe(agent: string): void {
-        this.probes.get(agent)?.();
-        this.probes.delete(agent);
-    }
-
     private reportLost(session: AgentSession): void {
         const agent = session.peer.incarnation;
-        this.probes.delete(agent);
         this.parts.log.write(EntryEvent.AgentLost, { agent: session.peer.id, incarnation: agent });
         this.events.fire({ kind: "lost", service: session.service, agent });
     }
