List missed load targets in KNOWN-RED.txt, and start the binary without a warning

Cause: load targets are judged by the bench, so their misses have no test to name; the binary printed a Node.js warning at each start because optional native modules were left external. Change: an entry of KNOWN-RED.txt names a test or a bench, and only tests can excuse a failure; the native modules are replaced by one that fails to load, which both libraries catch.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,18 @@
     setup: ({ onResolve }) => onResolve({ filter: /^undici$/ }, () => ({ path: resolve("scripts/slimUndici.cjs") })),
 };
 
+/**
+ * The native accelerators of cbor-x and hot-shots are optional and cannot stand in a single file. Both libraries catch the
+ * failure; left as external they made Node.js print a warning at each start.
+ */
+const absentNatives = {
+    name: "absent-natives",
+    setup: ({ onResolve, onLoad }) => {
+        onResolve({ filter: /^(cbor-extract|unix-dgram)$/ }, ({ path }) => ({ path, namespace: "absent" }));
+        onLoad({ filter: /.*/, namespace: "absent" }, () => ({ contents: "throw new Error('not in the binary');" }));
+    },
+};
+
 const { version } = JSON.parse(readFileSync("package.json", "utf8"));
 
 mkdirSync("dist", { recursive: true });
@@ -26,9 +38,7 @@
     target: "node20",
     format: "cjs",
     minify: true,
-    plugins: [slimUndici],
-    // The native accelerators of cbor-x and hot-shots are optional and cannot stand in a single file.
-    external: ["cbor-extract", "unix-dgram"],
+    plugins: [slimUndici, absentNatives],
     define: { "process.env.WAXWINGSHUNT_VERSION": JSON.stringify(version) },
     logLevel: "warning",
 });
--- a/scripts/judgeTests.mjs
+++ b/scripts/judgeTests.mjs
@@ -10,21 +10,26 @@
 /** Diagnostics with which node:test reports errors that belong to no test. */
 const STRAY_ERROR = /asynchronous activity after the test ended|^Error:/;
 
-/** Returns the tests named by the `test:` lines; throws on an entry without one and on a test that stands twice. */
+/**
+ * Returns the tests named by the `test:` lines and the missed load targets named by the `bench:` lines, which excuse no
+ * test; throws on an entry with neither or several, and on one that stands twice.
+ */
 export function parseKnownRed(text) {
     const entries = text.split(/\n\s*\n/).map(entry => entry.trim()).filter(entry => entry !== "");
-    const names = entries.map(entry => {
-        const lines = entry.split("\n").filter(line => line.startsWith("test: "));
+    const heads = entries.map(entry => {
+        const lines = entry.split("\n").filter(line => /^(test|bench): /.test(line)).map(line => line.trim());
         if (lines.length !== 1) {
-            throw new Error(`KNOWN-RED.txt: an entry needs exactly one line "test: FILE > SUITE > TEST": ${entry}`);
+            const forms = `"test: FILE > SUITE > TEST" or "bench: ARGUMENTS"`;
+            throw new Error(`KNOWN-RED.txt: an entry needs exactly one line ${forms}: ${entry}`);
         }
-        return lines[0].slice("test: ".length).trim();
+        return lines[0];
     });
-    const repeated = names.find((name, index) => names.indexOf(name) !== index);
+    const repeated = heads.find((head, index) => heads.indexOf(head) !== index);
     if (repeated !== undefined) {
         throw new Error(`KNOWN-RED.txt: listed twice: ${repeated}`);
     }
-    return names;
+    const named = kind => heads.filter(head => head.startsWith(kind)).map(head => head.slice(kind.length).trim());
+    return { tests: named("test: "), benches: named("bench: ") };
 }
 
 /** Collects passed, failed and unfinished tests by file and full name, and errors that belong to no test. */
--- a/scripts/judgeTests.test.mjs
+++ b/scripts/judgeTests.test.mjs
@@ -84,8 +84,10 @@
 
     it("guards against a list that is read wrongly", () => {
         const text = `test: ${BAD}\ncommand: npm test\nseen: x\n\n\ntest: b > c\nseen: y\n`;
-        assert.deepEqual(parseKnownRed(text), [BAD, "b > c"]);
-        assert.deepEqual(parseKnownRed(""), []);
+        assert.deepEqual(parseKnownRed(text), { tests: [BAD, "b > c"], benches: [] });
+        assert.deepEqual(parseKnownRed(""), { tests: [], benches: [] });
+        assert.deepEqual(parseKnownRed("bench: --seed 1\nseen: x"), { tests: [], benches: ["--seed 1"] });
+        assert.throws(() => parseKnownRed(`test: ${BAD}\nbench: --seed 1`), /exactly one line/);
         assert.throws(() => parseKnownRed("seen: x"), /exactly one line/);
         assert.throws(() => parseKnownRed(`test: ${BAD}\n\ntest: ${BAD}`), /listed twice/);
     });
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -39,7 +39,8 @@
 }
 
 const chosen = process.argv.slice(2);
-const knownRed = (existsSync(KNOWN_RED) ? parseKnownRed(readFileSync(KNOWN_RED, "utf8")) : []).filter(name => {
+const listed = parseKnownRed(existsSync(KNOWN_RED) ? readFileSync(KNOWN_RED, "utf8") : "");
+const knownRed = listed.tests.filter(name => {
     return chosen.length === 0 || chosen.some(file => name.startsWith(`${file} > `));
 });
 mkdirSync("build", { recursive: true });
@@ -49,5 +50,6 @@
 const results = collectResults(lines.map(line => JSON.parse(line)), process.cwd());
 const { excused, problems } = judge(results, knownRed, exitCode);
 excused.forEach(name => console.log(`passed over (KNOWN-RED.txt): ${name}`));
+listed.benches.forEach(name => console.log(`missed load target (KNOWN-RED.txt): ${name}`));
 problems.forEach(problem => console.log(problem));
 process.exitCode = problems.length === 0 ? 0 : 1;
