Log ejections of agents

Cause: an operator could not see that an agent was ejected, only that it got probes. Before and after: no line; now one line per ejection and return (tests of controllers and policies pass).

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -10,6 +10,7 @@
 import { Role } from "../common/wire/Role.js";
 import { assembleState } from "./assembleState.js";
 import { Agents } from "./controllers/Agents.js";
+import { EjectionLog } from "./controllers/EjectionLog.js";
 import { Jobs } from "./controllers/Jobs.js";
 import { Relay } from "./controllers/Relay.js";
 import { Settlement } from "./controllers/Settlement.js";
@@ -44,6 +45,7 @@
     private readonly stories: Stories;
     private readonly agents: Agents;
     private readonly tickets: Tickets;
+    private readonly ejections: EjectionLog;
     private readonly agentChannels: SharedChannels;
     private readonly settlement: Settlement;
     private readonly jobs: Jobs;
@@ -75,6 +77,7 @@
         const dialer = (address: string) => dial(address, ownIdentity.current, settings.secret, log, metrics);
         const codec = new TicketCodec(settings.secret);
         this.stories = new Stories(settings.id, log);
+        this.ejections = new EjectionLog(clock, log);
         this.agentChannels = new SharedChannels(clock, dialer);
         const lease = (address: string) => this.agentChannels.lease(address);
         this.settlement = new Settlement({ clock, dial: lease, stories: this.stories });
@@ -106,7 +109,11 @@
             tickets: this.tickets,
             stories: this.stories,
             gather: ticket => this.settlement.gather(ticket),
-            createScheduler: () => createScheduler(settings.scheduler, random),
+            createScheduler: () => {
+                const scheduler = createScheduler(settings.scheduler, random);
+                this.ejections.watch(scheduler);
+                return scheduler;
+            },
         });
         const { jobs, settlement, stories } = this;
         this.relay = new Relay({ clock, identity: ownIdentity, peers, codec, jobs, settlement, stories });
@@ -159,6 +166,7 @@
 
     public dispose(): Promise<void> {
         this.sockets?.http.abort();
+        this.ejections.dispose();
         this.agentChannels.dispose();
         this.agents.dispose();
         this.jobs.dispose();
--- a/src/entry/EntryEvent.ts
+++ b/src/entry/EntryEvent.ts
@@ -26,6 +26,8 @@
     AgentDraining: { number: 1033, level: LogLevel.Info, text: "agent is draining" },
     AttachRefused: { number: 1034, level: LogLevel.Info, text: "attach refused" },
     AgentIdle: { number: 1035, level: LogLevel.Info, text: "connection of an agent that did not attach closed" },
+    AgentEjected: { number: 1036, level: LogLevel.Warn, text: "agent ejected after failures" },
+    AgentReadmitted: { number: 1037, level: LogLevel.Info, text: "agent takes work again, or is gone" },
     IssuerFenced: { number: 1040, level: LogLevel.Error, text: "incarnation was fenced, taking a new one" },
     SettlementStarted: { number: 1041, level: LogLevel.Warn, text: "settlement of the ticket started" },
     SettlementRecords: { number: 1042, level: LogLevel.Info, text: "agent answered with its records" },
--- a/src/entry/policy/EarlyBindingScheduler.ts
+++ b/src/entry/policy/EarlyBindingScheduler.ts
@@ -34,6 +34,10 @@
         return this.queuedTasks;
     }
 
+    public ejected(): readonly string[] {
+        return [];
+    }
+
     public get running(): number {
         return this.attempts.size;
     }
--- a/src/entry/policy/FairScheduler.ts
+++ b/src/entry/policy/FairScheduler.ts
@@ -155,6 +155,12 @@
         return at === Infinity ? undefined : at;
     }
 
+    public ejected(): readonly string[] {
+        return [...this.agents.all()]
+            .map(agent => agent.profile.id)
+            .filter(id => this.policies.health.ejected(id));
+    }
+
     /** Returns the state for operators. */
     public snapshot(): SchedulerSnapshot {
         const agents = [...this.agents.all()].map(agent => ({
--- a/src/entry/policy/FifoScheduler.ts
+++ b/src/entry/policy/FifoScheduler.ts
@@ -29,6 +29,10 @@
         return this.queue.length;
     }
 
+    public ejected(): readonly string[] {
+        return [];
+    }
+
     public get running(): number {
         return this.attempts.size;
     }
--- a/src/entry/policy/Scheduler.ts
+++ b/src/entry/policy/Scheduler.ts
@@ -36,6 +36,8 @@
     report(report: AttemptReport, now: number): Disposition;
     /** Removes and returns queued tasks whose deadline has passed. */
     expire(now: number): readonly QueuedTask[];
+    /** Agents that get no work but probes, because their tasks failed. */
+    ejected(): readonly string[];
     /** Earliest time at which `expire` or `assign` may have new results without another call; undefined for never. */
     nextWakeAt(now: number): number | undefined;
 }
