Ask a live issuer once for a relayed job instead of every two seconds

Change: while gossip shows the issuer as live, one call waits up to 30 s, and ends as lost when the issuer leaves the members; issuers outside the member table are asked every 2 s as before.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -11,6 +11,7 @@
 import { assembleState } from "./assembleState.js";
 import { Agents } from "./controllers/Agents.js";
 import { EjectionLog } from "./controllers/EjectionLog.js";
+import { IssuerWatch } from "./controllers/IssuerWatch.js";
 import { Jobs } from "./controllers/Jobs.js";
 import { Relay } from "./controllers/Relay.js";
 import { Settlement } from "./controllers/Settlement.js";
@@ -116,7 +117,16 @@
             },
         });
         const { jobs, settlement, stories } = this;
-        this.relay = new Relay({ clock, identity: ownIdentity, peers, codec, jobs, settlement, stories });
+        this.relay = new Relay({
+            clock,
+            identity: ownIdentity,
+            peers,
+            codec,
+            jobs,
+            settlement,
+            stories,
+            issuers: new IssuerWatch(members),
+        });
         this.watchFences();
     }
 
--- a/src/entry/controllers/Relay.test.ts
+++ b/src/entry/controllers/Relay.test.ts
@@ -7,11 +7,13 @@
 import { SeededRandom } from "../../common/SeededRandom.js";
 import { TicketCodec } from "../../common/ticket/TicketCodec.js";
 import { VirtualClock } from "../../common/VirtualClock.js";
+import type { Member } from "../../common/wire/Member.js";
 import type { Message } from "../../common/wire/Message.js";
 import { EntryIdentity } from "../EntryIdentity.js";
 import type { PeerCalls } from "../PeerCalls.js";
 import { FifoScheduler } from "../policy/FifoScheduler.js";
 import type { AgentNotice } from "./AgentNotice.js";
+import { IssuerWatch } from "./IssuerWatch.js";
 import { Jobs } from "./Jobs.js";
 import { Relay } from "./Relay.js";
 import { Settlement } from "./Settlement.js";
@@ -94,8 +96,10 @@
     const gather: Settlement["gather"] = ticket => settlement.gather(ticket);
     const createScheduler = () => new FifoScheduler();
     const jobs = new Jobs({ clock, identity, configuration, agents, tickets, stories, gather, createScheduler });
-    const relay = new Relay({ clock, identity, peers, codec, jobs, settlement, stories });
-    return { identity, tickets, relay, jobs, events, sent };
+    const rows = { current: [] as readonly Member[], changed: new Emitter<void>() };
+    const issuers = new IssuerWatch({ rows: () => rows.current, onChange: rows.changed.event });
+    const relay = new Relay({ clock, identity, peers, codec, jobs, settlement, stories, issuers });
+    return { identity, tickets, relay, jobs, events, sent, rows };
 }
 
 describe("Relay", () => {
@@ -155,6 +159,30 @@
         assert.equal((await answer).state, "complete");
     });
 
+    describe("an issuer that is a live member", () => {
+        beforeEach(() => {
+            other.rows.current = [{ ...home.identity.current, counter: 1, draining: false, revision: 1 }];
+        });
+
+        it("guards against asking it again and again while a job runs", async () => {
+            const callsBefore = network.calls;
+            const answer = other.relay.submit(request(), Infinity);
+            await advance(3900);
+            succeed();
+            assert.equal((await answer).state, "complete");
+            assert.equal(network.calls - callsBefore, 1);
+        });
+
+        it("guards against waiting for an issuer that has left the members", async () => {
+            const answer = other.relay.submit(request(), Infinity);
+            await advance(500);
+            other.rows.current = [];
+            other.rows.changed.fire();
+            await advance(1000);
+            assert.deepEqual((await answer).tasks.map(task => task.verdict), ["may_have_run"]);
+        });
+    });
+
     it("guards against a job that was not joined when it arrives through another entry", async () => {
         const first = other.relay.submit(request(), Infinity);
         const second = home.relay.submit(request(), Infinity);
--- a/src/entry/controllers/Relay.ts
+++ b/src/entry/controllers/Relay.ts
@@ -11,6 +11,7 @@
 import { EntryEvent } from "../EntryEvent.js";
 import type { EntryIdentity } from "../EntryIdentity.js";
 import type { PeerCalls } from "../PeerCalls.js";
+import type { IssuerWatch } from "./IssuerWatch.js";
 import { Job } from "./Job.js";
 import { Jobs } from "./Jobs.js";
 import type { Settlement } from "./Settlement.js";
@@ -24,6 +25,9 @@
 /** Longest wait asked of an issuer in one call, so that a lost issuer is noticed within this time plus the timeout. */
 const WAIT_SLICE_MS = 2000;
 
+/** The same for an issuer that is a live member: its loss is noticed by gossip, so asking often would waste messages. */
+const LIVE_WAIT_SLICE_MS = 30_000;
+
 /** A settlement that only collects records ends within this time, so that even a caller that does not wait sees it. */
 const MIN_SETTLE_WAIT_MS = 500;
 
@@ -43,6 +47,7 @@
     readonly jobs: Jobs;
     readonly settlement: Settlement;
     readonly stories: Stories;
+    readonly issuers: IssuerWatch;
 }
 
 /** Body of the calls between entries. */
@@ -139,9 +144,9 @@
 
     /** Calls the issuer, then asks again in slices until the job is final or the time is over. */
     private async follow(ticket: Ticket, method: string, ask: Ask, until: number): Promise<Answer> {
-        let answer = await this.callIssuer(ticket, method, { ...ask, waitMs: this.slice(until) });
+        let answer = await this.callIssuer(ticket, method, { ...ask, waitMs: this.slice(ticket, until) });
         while (answer.state === JobState.Running && this.parts.clock.now() < until) {
-            answer = await this.callIssuer(ticket, WAIT, { ticket: ask.ticket, waitMs: this.slice(until) });
+            answer = await this.callIssuer(ticket, WAIT, { ticket: ask.ticket, waitMs: this.slice(ticket, until) });
         }
         return answer;
     }
@@ -149,15 +154,16 @@
     private async callIssuer(ticket: Ticket, method: string, ask: Ask): Promise<Answer> {
         const timeoutMs = ask.waitMs + ISSUER_TIMEOUT_MS;
         const call = this.parts.peers.call(ticket.address, ticket.issuer, method, ask, timeoutMs);
-        return await call.catch((error: unknown) => {
+        return await this.parts.issuers.whileLive(ticket.issuer, call).catch((error: unknown) => {
             throw error instanceof Fault && error.code === FaultCode.Overloaded && method !== SUBMIT
                 ? unheard(error)
                 : error;
         }) as Answer;
     }
 
-    private slice(until: number): number {
-        return Math.max(0, Math.min(WAIT_SLICE_MS, until - this.parts.clock.now()));
+    private slice(ticket: Ticket, until: number): number {
+        const longestMs = this.parts.issuers.isLive(ticket.issuer) ? LIVE_WAIT_SLICE_MS : WAIT_SLICE_MS;
+        return Math.max(0, Math.min(longestMs, until - this.parts.clock.now()));
     }
 
     private decode(text: string, team: string | undefined): Ticket {
