Say may have run when a call between entries is not handled

Cause: a resubmission that met the bound of 4,096 calls on a connection was refused with not_run, although an earlier submission under the same ticket may have run. Ruled out: refusals of the issuer's own admission, which knows its tickets. Change: the link's own refusals say may_have_run; FakeChannel is shared by tests.

--- a/src/entry/controllers/PeerLink.ts
+++ b/src/entry/controllers/PeerLink.ts
@@ -68,7 +68,7 @@
     public call(method: string, body: unknown, timeoutMs: number): Promise<unknown> {
         if (this.pending.size >= MAX_OUTSTANDING_CALLS) {
             const message = `${MAX_OUTSTANDING_CALLS} calls to ${this.channel.peer.id} wait for a reply`;
-            return Promise.reject(new Fault(FaultCode.Overloaded, message, Verdict.NotRun, RETRY_AFTER_MS));
+            return Promise.reject(busy(message));
         }
         const id = this.nextCall++;
         return new Promise((resolve, reject) => {
@@ -96,8 +96,7 @@
     /** Answers a call with the result of `handle`. */
     public async answer(call: MessageOf<"call">, handle: () => Promise<unknown>): Promise<void> {
         if (this.serving >= MAX_OUTSTANDING_CALLS) {
-            const fault = new Fault(FaultCode.Overloaded, "too many calls", Verdict.NotRun, RETRY_AFTER_MS);
-            this.refuse(call.id, fault);
+            this.refuse(call.id, busy("too many calls"));
             return;
         }
         this.serving += 1;
@@ -203,3 +202,8 @@
         ? error
         : new Fault(FaultCode.Internal, error instanceof Error ? error.message : String(error), Verdict.MayHaveRun);
 }
+
+/** A call that is not handled says nothing about earlier ones: its job may have been submitted before. */
+function busy(message: string): Fault {
+    return new Fault(FaultCode.Overloaded, message, Verdict.MayHaveRun, RETRY_AFTER_MS);
+}
--- a/src/entry/controllers/SharedChannels.test.ts
+++ b/src/entry/controllers/SharedChannels.test.ts
@@ -1,44 +1,11 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
-import { Emitter } from "../../common/Emitter.js";
 import { VirtualClock } from "../../common/VirtualClock.js";
-import type { Channel } from "../../common/wire/Channel.js";
-import type { Message } from "../../common/wire/Message.js";
+import { FakeChannel } from "../../test/FakeChannel.js";
 import { SharedChannels } from "./SharedChannels.js";
 
 const ADDRESS = "127.0.0.1:1";
 
-class FakeChannel implements Channel {
-    public readonly messages = new Emitter<Message>();
-    public readonly closes = new Emitter<string>();
-    public readonly onMessage = this.messages.event;
-    public readonly onClose = this.closes.event;
-    public open = true;
-    public readonly peer = {
-        role: "agent",
-        id: "a",
-        incarnation: "i",
-        region: "r",
-        failureDomain: "f",
-        address: ADDRESS,
-    } as const;
-
-    public send(): boolean {
-        return this.open;
-    }
-
-    public close(reason = "closed"): void {
-        if (this.open) {
-            this.open = false;
-            this.closes.fire(reason);
-        }
-    }
-
-    public dispose(): void {
-        this.close();
-    }
-}
-
 describe("SharedChannels", () => {
     let clock: VirtualClock;
     let dialled: FakeChannel[];
--- /dev/null
+++ b/src/test/FakeChannel.ts
@@ -0,0 +1,39 @@
+import { Emitter } from "../common/Emitter.js";
+import type { Channel } from "../common/wire/Channel.js";
+import type { Message } from "../common/wire/Message.js";
+
+/** Channel without a socket: keeps what was sent, and tests fire what is received. */
+export class FakeChannel implements Channel {
+    public readonly sent: Message[] = [];
+    public readonly messages = new Emitter<Message>();
+    public readonly closes = new Emitter<string>();
+    public readonly onMessage = this.messages.event;
+    public readonly onClose = this.closes.event;
+    public open = true;
+    public readonly peer = {
+        role: "agent",
+        id: "a",
+        incarnation: "i",
+        region: "r",
+        failureDomain: "f",
+        address: "127.0.0.1:1",
+    } as const;
+
+    public send(message: Message): boolean {
+        if (this.open) {
+            this.sent.push(message);
+        }
+        return this.open;
+    }
+
+    public close(reason = "closed"): void {
+        if (this.open) {
+            this.open = false;
+            this.closes.fire(reason);
+        }
+    }
+
+    public dispose(): void {
+        this.close();
+    }
+}
