--- a/src/bench/EmbeddedDeployment.ts
+++ b/src/bench/EmbeddedDeployment.ts
@@ -90,7 +90,7 @@
         switch (injection) {
             case Injection.SickWorker:
                 worker.endpoint.failureShare = 1;
-                this.failuresBefore = worker.endpoint.starts.size + worker.endpoint.running;
+                this.failuresBefore = worker.endpoint.starts.size;
                 break;
             case Injection.SilentWorker:
                 worker.endpoint.silentShare = 1;
