Name unknown attempts and verdict adjustments by the usual terms

Cause: names such as Fates, loseSight, honest and outrun need an explanation. Change: UnknownAttempts, markUnknown, adjustVerdict, toMayHaveRun, raiseCounterAbove. Before and after: names only; the controllers' tests pass. Conclusion: reads without a glossary.

--- a/src/entry/controllers/Dispatch.ts
+++ b/src/entry/controllers/Dispatch.ts
@@ -16,12 +16,12 @@
 import type { Scheduler } from "../policy/Scheduler.js";
 import type { AgentLink } from "./AgentLink.js";
 import type { AgentNotice } from "./AgentNotice.js";
-import { Fates } from "./Fates.js";
 import type { Job } from "./Job.js";
 import { resultOf } from "./resultOf.js";
 import { ServiceQueue } from "./ServiceQueue.js";
 import type { Stories } from "./Stories.js";
 import type { TaskResult } from "./TaskResult.js";
+import { UnknownAttempts } from "./UnknownAttempts.js";
 
 /** Refusals that say nothing of the agent's health. */
 const HEALTH_NEUTRAL: ReadonlySet<string> = new Set([
@@ -54,10 +54,10 @@
 export class Dispatch implements Disposable {
     private readonly queues = new Map<string, ServiceQueue>();
     private readonly registrations = new DisposableStore();
-    private readonly fates: Fates;
+    private readonly unknownAttempts: UnknownAttempts;
 
     constructor(private readonly parts: Parts) {
-        this.fates = new Fates(parts);
+        this.unknownAttempts = new UnknownAttempts(parts);
         this.registrations.add(parts.agents.onEvent(event => {
             this.handle(event);
         }));
@@ -134,11 +134,11 @@
         match(event)
             .with({ kind: "attached" }, ({ profile }) => {
                 queue.scheduler.addAgent(profile, now);
-                this.fates.resolve(agent);
+                this.unknownAttempts.resolve(agent);
             })
             .with({ kind: "detached" }, () => {
                 queue.scheduler.removeAgent(agent, now);
-                this.fates.loseSight(agent);
+                this.unknownAttempts.markUnknown(agent);
             })
             .with({ kind: "lost" }, () => {
                 this.declareLost(agent);
@@ -161,7 +161,7 @@
                 this.takeOutcome(agent, report);
             })
             .with({ kind: "revoked" }, ({ report }) => {
-                this.fates.confirmRunning(agent, report);
+                this.unknownAttempts.confirmRunning(agent, report);
             })
             .with({ kind: "fenced" }, { kind: "state" }, () => undefined)
             .exhaustive();
@@ -232,7 +232,7 @@
     }
 
     private endAttempt(job: Job, agent: string, reported: Outcome): void {
-        const outcome = honest(reported);
+        const outcome = adjustVerdict(reported);
         const { task, attempt, verdict, ok, runMs } = outcome;
         const { scheduler } = this.queueOf(job.ticket.service);
         const now = this.parts.clock.now();
@@ -260,7 +260,7 @@
     }
 
     private declareLost(agent: string): void {
-        this.fates.eachOpen(agent, (job, task, attempt) => {
+        this.unknownAttempts.eachOpen(agent, (job, task, attempt) => {
             const error = { code: FaultCode.AgentLost, message: "the agent's process ended" };
             this.endAttempt(job, agent, { task, attempt, verdict: Verdict.MayHaveRun, ok: false, error, runMs: 0 });
         });
@@ -289,6 +289,6 @@
 }
 
 /** A refusal as duplicate means that the agent has another attempt on record, so the task may have run. */
-function honest(outcome: Outcome): Outcome {
+function adjustVerdict(outcome: Outcome): Outcome {
     return outcome.error?.code === FaultCode.Duplicate ? { ...outcome, verdict: Verdict.MayHaveRun } : outcome;
 }
--- a/src/entry/controllers/Membership.ts
+++ b/src/entry/controllers/Membership.ts
@@ -223,7 +223,7 @@
             return false;
         }
         if (row.id === self.id) {
-            this.outrun(row, self);
+            this.raiseCounterAbove(row, self);
             return false;
         }
         const change = this.table.merge(row, this.options.clock.now());
@@ -235,7 +235,7 @@
     }
 
     /** A row of an earlier incarnation of this entry must not win over the current one. */
-    private outrun(row: Member, self: Member): void {
+    private raiseCounterAbove(row: Member, self: Member): void {
         if (row.incarnation === self.incarnation || row.counter < self.counter) {
             return;
         }
--- a/src/entry/controllers/Relay.ts
+++ b/src/entry/controllers/Relay.ts
@@ -156,7 +156,7 @@
         const call = this.parts.peers.call(ticket.address, ticket.issuer, method, ask, timeoutMs);
         return await this.parts.issuers.whileLive(ticket.issuer, call).catch((error: unknown) => {
             throw error instanceof Fault && error.code === FaultCode.Overloaded && method !== SUBMIT
-                ? unheard(error)
+                ? toMayHaveRun(error)
                 : error;
         }) as Answer;
     }
@@ -231,7 +231,7 @@
 }
 
 /** A question about a job that was not passed on says nothing about what the job has run. */
-function unheard({ code, message, retryAfterMs }: Fault): Fault {
+function toMayHaveRun({ code, message, retryAfterMs }: Fault): Fault {
     return new Fault(code, message, Verdict.MayHaveRun, retryAfterMs);
 }
 
--- a/src/entry/controllers/Fates.ts
+++ b/src/entry/controllers/UnknownAttempts.ts
@@ -12,11 +12,11 @@
 }
 
 /** Open attempts whose fate is unknown because the agent's connection was lost, and their resolution by `revoke`. */
-export class Fates {
+export class UnknownAttempts {
     constructor(private readonly parts: Parts) {}
 
     /** The agent's connection was lost: its open attempts stay open with an unknown fate. */
-    public loseSight(agent: string): void {
+    public markUnknown(agent: string): void {
         this.eachOpen(agent, (job, task, attempt) => {
             const open = job.openAttempt(task);
             if (open !== undefined) {
