--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "build/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
+    { ignores: ["dist/**", "build/**", "target/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { project: "./tsconfig.json" } },
@@ -21,7 +21,7 @@
         },
     },
     {
-        files: ["src/**/*.test.ts", "src/test/**/*.ts"],
+        files: ["src/**/*.test.ts", "platform/**/*.test.ts", "src/test/**/*.ts"],
         rules: {
             "@typescript-eslint/no-floating-promises": [
                 "error",
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,46 +2,17 @@
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, renameSync, rmSync, writeFileSync } from "node:fs";
-import { resolve } from "node:path";
+import { bundleOptions } from "./bundle.mjs";
 
 const BUNDLE = "dist/main.cjs";
 const BINARY = "dist/waxwingshunt";
 const INJECTED = "dist/injected";
 const SEA_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-/** Replaces the index of undici by the parts that are used. */
-const slimUndici = {
-    name: "slim-undici",
-    setup: ({ onResolve }) => onResolve({ filter: /^undici$/ }, () => ({ path: resolve("scripts/slimUndici.cjs") })),
-};
-
-/**
- * The native accelerators of cbor-x and hot-shots are optional and cannot stand in a single file. Both libraries catch the
- * failure; left as external they made Node.js print a warning at each start.
- */
-const absentNatives = {
-    name: "absent-natives",
-    setup: ({ onResolve, onLoad }) => {
-        onResolve({ filter: /^(cbor-extract|unix-dgram)$/ }, ({ path }) => ({ path, namespace: "absent" }));
-        onLoad({ filter: /.*/, namespace: "absent" }, () => ({ contents: "throw new Error('not in the binary');" }));
-    },
-};
-
 const { version } = JSON.parse(readFileSync("package.json", "utf8"));
 
 mkdirSync("dist", { recursive: true });
-await build({
-    entryPoints: ["src/main.ts"],
-    outfile: BUNDLE,
-    bundle: true,
-    platform: "node",
-    target: "node20",
-    format: "cjs",
-    minify: true,
-    plugins: [slimUndici, absentNatives],
-    define: { "process.env.WAXWINGSHUNT_VERSION": JSON.stringify(version) },
-    logLevel: "warning",
-});
+await build(bundleOptions(BUNDLE, version));
 
 writeFileSync(
     "dist/sea-config.json",
--- a/scripts/format.mjs
+++ b/scripts/format.mjs
@@ -5,7 +5,7 @@
 import { readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 
-const ROOTS = ["src", "scripts"];
+const ROOTS = ["src", "platform", "scripts"];
 const SINGLE_FILES = ["eslint.config.mjs"];
 const check = process.argv.includes("--check");
 
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -6,7 +6,7 @@
 import { collectResults, judge, parseKnownRed } from "./judgeTests.mjs";
 
 const KNOWN_RED = "KNOWN-RED.txt";
-const ROOTS = ["src", "scripts"];
+const ROOTS = ["src", "platform", "scripts"];
 /** Test files that run at once. One per core starved the fault tests, whose clocks run three times faster. */
 const CONCURRENT_FILES = 5;
 const EVENTS = join("build", "test-events.jsonl");
--- /dev/null
+++ b/src/agent/leased/EndpointReport.ts
@@ -0,0 +1,13 @@
+import type { Resources } from "../../common/leased/Resources.js";
+import type { EndpointLife } from "./EndpointLife.js";
+
+/** What an endpoint says of itself in a heartbeat. */
+export interface EndpointReport {
+    readonly life: EndpointLife;
+    readonly service: string;
+    readonly capacity: Resources;
+    readonly labels: readonly string[];
+    readonly draining: boolean;
+    /** Rises with each heartbeat of one life. */
+    readonly sequence: number;
+}
--- /dev/null
+++ b/src/agent/leased/EndpointSession.ts
@@ -0,0 +1,241 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { Emitter } from "../../common/Emitter.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import type { Log } from "../../common/log/Log.js";
+import { EndpointClock } from "./EndpointClock.js";
+import type { EndpointControl } from "./EndpointControl.js";
+import type { EndpointReport } from "./EndpointReport.js";
+import { LeaseEvent } from "./LeaseEvent.js";
+import { LookOutcome } from "./LookOutcome.js";
+import type { RunList } from "./RunList.js";
+
+/** How long a look waits for an end; it renews the lease when it is sent. */
+const LOOK_WAIT_MS = 200;
+
+/** Time beyond its wait after which a look is taken as lost. Two lost looks in a row leave the lease in force. */
+const LOOK_SLACK_MS = 120;
+
+/** Pause after a look that was refused or failed at once. */
+const LOOK_PAUSE_MS = 40;
+
+/** Refused connections in a row after which the endpoint's process is taken as ended. */
+const REFUSALS_UNTIL_GONE = 2;
+
+/** Leases end this much after the last renewal that may have arrived: longest lease, 2% clock drift, and a margin. */
+const LAPSE_MS = LEASE_TIMES.MAX_LEASE_MS * 1.02 + 30;
+
+/** How far a fence is raised when the endpoint has seen a higher one, as after a step back of the time of day. */
+const FENCE_STEP = 1_000_000;
+
+/** List with the time when its look was sent; the list is at least as new. */
+interface Observation {
+    readonly list: RunList;
+    readonly sentAt: number;
+}
+
+/** Task that keeps one life of the endpoint in view: its clock, its lease and its run list. */
+export class EndpointSession implements Disposable {
+    private readonly lists = new Emitter<Observation>();
+    private readonly losses = new Emitter<string>();
+    private readonly time: EndpointClock;
+    private current: EndpointReport | undefined;
+    private acknowledged = 0;
+    private looking = false;
+    private answeredAt = Number.NEGATIVE_INFINITY;
+    private renewedAt = Number.NEGATIVE_INFINITY;
+    private refusals = 0;
+    private gone = true;
+    private disposed = false;
+
+    /** Fires with each run list. */
+    public readonly onList = this.lists.event;
+    /** Fires with the reason once nothing runs at the endpoint any more: its life or all leases are over. */
+    public readonly onGone = this.losses.event;
+
+    constructor(
+        public readonly control: EndpointControl,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private fenceNumber: number,
+    ) {
+        this.time = new EndpointClock(clock);
+    }
+
+    /** Last heartbeat of the current life. */
+    public get report(): EndpointReport | undefined {
+        return this.current;
+    }
+
+    public get fence(): number {
+        return this.fenceNumber;
+    }
+
+    /** Whether the endpoint answered lately and can be given work. */
+    public get alive(): boolean {
+        return !this.gone && this.clock.now() - this.answeredAt < LOOK_WAIT_MS + 2 * LOOK_SLACK_MS;
+    }
+
+    /** Endpoint's clock in milliseconds; undefined before its first answer. */
+    public get clockMs(): number | undefined {
+        return this.time.now();
+    }
+
+    /** Takes a heartbeat. An older life, or an older heartbeat of this life, changes nothing. */
+    public announce(report: EndpointReport): void {
+        const known = this.current;
+        if (known !== undefined && isOlder(report, known)) {
+            this.log.write(LeaseEvent.HeartbeatIgnored, { endpoint: report.life.id, sequence: report.sequence });
+            return;
+        }
+        if (known === undefined || !isSameLife(report, known)) {
+            this.begin(report);
+        }
+        if (known?.draining !== report.draining) {
+            this.log.write(LeaseEvent.EndpointState, { endpoint: report.life.id, draining: report.draining });
+        }
+        this.current = report;
+        this.lookOn();
+    }
+
+    /** Takes the clock of any answer of the endpoint. */
+    public observe(clockMs: number | undefined): void {
+        this.time.observe(clockMs);
+    }
+
+    /** Raises the fence after the endpoint has refused the present one. */
+    public raiseFence(refused: number): void {
+        if (this.fenceNumber === refused) {
+            this.fenceNumber += FENCE_STEP;
+            this.log.write(LeaseEvent.FenceRaised, { fence: this.fenceNumber });
+        }
+    }
+
+    /** Looks at the run list at once, beside the waiting look. */
+    public async lookNow(): Promise<void> {
+        await this.look(0);
+    }
+
+    /** Says that the endpoint has left; nothing runs there any more. */
+    public leave(): void {
+        this.end("endpoint left");
+        this.current = undefined;
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.lists.dispose();
+        this.losses.dispose();
+    }
+
+    private begin(report: EndpointReport): void {
+        this.end("new life of the endpoint");
+        this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
+        this.acknowledged = 0;
+        this.time.reset();
+        this.refusals = 0;
+    }
+
+    private end(reason: string): void {
+        if (!this.gone) {
+            this.gone = true;
+            this.log.write(LeaseEvent.EndpointLost, { endpoint: this.current?.life.id, reason });
+        }
+        this.losses.fire(reason);
+    }
+
+    private lookOn(): void {
+        if (!this.looking && !this.disposed && this.current !== undefined) {
+            this.looking = true;
+            void this.lookLoop();
+        }
+    }
+
+    private async lookLoop(): Promise<void> {
+        while (!this.disposed && this.current !== undefined) {
+            const waits = await this.look(LOOK_WAIT_MS);
+            if (!waits) {
+                await this.pause(LOOK_PAUSE_MS);
+            }
+        }
+        this.looking = false;
+    }
+
+    /** Looks once; returns false when the next look should pause first. */
+    private async look(waitMs: number): Promise<boolean> {
+        const report = this.current;
+        if (report === undefined) {
+            return false;
+        }
+        const sentAt = this.clock.now();
+        const fence = this.fenceNumber;
+        const clockMs = this.time.now();
+        const untilMs = clockMs === undefined ? undefined : clockMs + LEASE_TIMES.MAX_LEASE_MS;
+        this.renewedAt = untilMs === undefined ? this.renewedAt : sentAt;
+        const answer = await this.control.look({
+            endpoint: report.life.id,
+            fence,
+            untilMs,
+            acknowledged: this.acknowledged,
+            waitMs: clockMs === undefined ? 0 : waitMs,
+            timeoutMs: waitMs + LOOK_SLACK_MS,
+        });
+        if (this.current === undefined || !isSameLife(this.current, report)) {
+            return true;
+        }
+        this.time.observe(answer.clockMs);
+        if (answer.outcome === LookOutcome.Listed && answer.list !== undefined) {
+            this.take({ list: answer.list, sentAt });
+            return true;
+        }
+        this.miss(answer.outcome, fence);
+        return answer.outcome === LookOutcome.Unanswered || answer.outcome === LookOutcome.Fenced;
+    }
+
+    private take(observation: Observation): void {
+        this.answeredAt = this.clock.now();
+        this.refusals = 0;
+        if (this.gone) {
+            this.gone = false;
+            this.log.write(LeaseEvent.EndpointAnswers, { endpoint: this.current?.life.id });
+        }
+        this.lists.fire(observation);
+        const numbers = observation.list.finished.map(finished => finished.number);
+        this.acknowledged = Math.max(this.acknowledged, ...numbers);
+    }
+
+    private miss(outcome: LookOutcome, fence: number): void {
+        if (outcome === LookOutcome.Fenced) {
+            this.raiseFence(fence);
+            return;
+        }
+        this.refusals = outcome === LookOutcome.Unreachable ? this.refusals + 1 : 0;
+        const lapsed = this.clock.now() - this.answeredAt > LAPSE_MS && this.clock.now() - this.renewedAt > LAPSE_MS;
+        if (this.refusals >= REFUSALS_UNTIL_GONE) {
+            this.end("connection refused");
+        }
+        else if (outcome === LookOutcome.OtherLife) {
+            this.end("another life answers");
+        }
+        else if (lapsed) {
+            this.end("leases lapsed without an answer");
+        }
+    }
+
+    private pause(ms: number): Promise<void> {
+        return new Promise(resolve => {
+            this.clock.schedule(ms, resolve);
+        });
+    }
+}
+
+function isSameLife(a: EndpointReport, b: EndpointReport): boolean {
+    return a.life.id === b.life.id && a.life.bornMs === b.life.bornMs;
+}
+
+function isOlder(report: EndpointReport, known: EndpointReport): boolean {
+    if (isSameLife(report, known)) {
+        return report.sequence <= known.sequence;
+    }
+    return report.life.bornMs < known.life.bornMs;
+}
--- /dev/null
+++ b/src/agent/leased/EntryLink.ts
@@ -0,0 +1,105 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import type { EndpointSession } from "./EndpointSession.js";
+import { LeaseEvent } from "./LeaseEvent.js";
+import type { Runs } from "./Runs.js";
+
+/** How often the tenure of an entry is checked. */
+const CHECK_INTERVAL_MS = 50;
+
+/** Attached entry: takes its orders while its tenure is in force, and stops its runs when it is lost. */
+export class EntryLink implements Disposable {
+    private untilMs = 0;
+    private tenured = false;
+    private orders = 0;
+    private heardAt: number;
+    private cancelCheck: (() => void) | undefined;
+
+    constructor(
+        private readonly channel: Channel,
+        /** Names the connection; an entry that connects again is another owner. */
+        public readonly owner: string,
+        private readonly session: EndpointSession,
+        private readonly runs: Runs,
+        private readonly clock: Clock,
+        private readonly log: Log,
+    ) {
+        this.heardAt = clock.now();
+        this.checkLater();
+    }
+
+    public get orderCount(): number {
+        return this.orders;
+    }
+
+    public get isTenured(): boolean {
+        return this.tenured;
+    }
+
+    /** Notes that the entry was heard. */
+    public heard(): void {
+        this.heardAt = this.clock.now();
+    }
+
+    /** Renews the tenure. */
+    public takeTenure(message: MessageOf<"tenure">): void {
+        this.untilMs = Math.max(this.untilMs, message.untilMs);
+        const clockMs = this.session.clockMs;
+        this.tenured = clockMs !== undefined && clockMs < this.untilMs;
+    }
+
+    /** Takes an order, or gives its tasks back while no tenure is in force. */
+    public takeOrder(message: MessageOf<"run">): void {
+        this.orders = message.order;
+        this.check();
+        const names = message.tasks.map(task => task.name);
+        this.log.write(LeaseEvent.OrderTaken, {
+            job: message.job,
+            tasks: names,
+            owner: this.owner,
+            tenured: this.tenured,
+            untilMs: this.untilMs,
+            clockMs: this.session.clockMs,
+        });
+        this.runs.order(this.owner, message);
+        if (!this.tenured) {
+            this.runs.abort(this.owner, names, "no tenure");
+        }
+    }
+
+    public takeAbort(message: MessageOf<"abort">): void {
+        this.runs.abort(this.owner, message.tasks, message.reason);
+    }
+
+    public dispose(): void {
+        this.cancelCheck?.();
+        this.cancelCheck = undefined;
+        this.tenured = false;
+        this.runs.abortOwner(this.owner, "connection to the entry lost");
+    }
+
+    private checkLater(): void {
+        this.cancelCheck = this.clock.schedule(CHECK_INTERVAL_MS, () => {
+            this.check();
+            if (this.clock.now() - this.heardAt > LEASE_TIMES.AGENT_SILENCE_MS) {
+                this.channel.dispose();
+            }
+            else {
+                this.checkLater();
+            }
+        });
+    }
+
+    private check(): void {
+        const clockMs = this.session.clockMs;
+        if (this.tenured && (clockMs === undefined || clockMs >= this.untilMs)) {
+            this.tenured = false;
+            this.log.write(LeaseEvent.TenureLapsed, { owner: this.owner, untilMs: this.untilMs, clockMs });
+            this.runs.abortOwner(this.owner, "tenure lapsed");
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/leased/EntryLinks.ts
@@ -0,0 +1,178 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
+import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
+import type { RoutingTable } from "../../common/leased/RoutingTable.js";
+import type { RunEnd } from "../../common/leased/RunEnd.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { Message } from "../../common/wire/Message.js";
+import type { EndpointSession } from "./EndpointSession.js";
+import { EntryLink } from "./EntryLink.js";
+import { LeaseEvent } from "./LeaseEvent.js";
+import type { Runs } from "./Runs.js";
+
+/** Delay that collects the changes of one moment into one report. */
+const REPORT_DELAY_MS = 4;
+
+/** How often an unchanged condition is reported, as a sign of life. */
+const REPORT_INTERVAL_MS = 150;
+
+/** Delay that collects ends of runs into one message. */
+const ENDS_DELAY_MS = 1;
+
+interface Attached {
+    readonly channel: Channel;
+    readonly link: EntryLink;
+    readonly ends: RunEnd[];
+}
+
+/** Controller of the attached entries: routes their messages to their links and reports the endpoint's condition. */
+export class EntryLinks implements Disposable {
+    private readonly attached = new Map<string, Attached>();
+    private count = 0;
+    private cancelReport: (() => void) | undefined;
+    private cancelHeartbeat: (() => void) | undefined;
+    private cancelEnds: (() => void) | undefined;
+    private stopping = false;
+
+    constructor(
+        private readonly session: EndpointSession,
+        private readonly runs: Runs,
+        private readonly routes: RoutingTable,
+        private readonly learnEntries: (addresses: readonly string[]) => void,
+        private readonly clock: Clock,
+        private readonly log: Log,
+    ) {
+        runs.onEnd(({ owner, end }) => {
+            this.queueEnd(owner, end);
+        });
+        runs.onChange(() => {
+            this.reportSoon();
+        });
+        routes.onChange(document => {
+            log.write(LeaseEvent.RoutesTaken, { version: document.version });
+            this.sendAll({ kind: "routes", document });
+        });
+        this.heartbeat();
+    }
+
+    /** Says at once that the endpoint's condition changed. */
+    public reportSoon(): void {
+        this.cancelReport ??= this.clock.schedule(REPORT_DELAY_MS, () => {
+            this.cancelReport = undefined;
+            this.report();
+        });
+    }
+
+    /** Takes no orders from now on. */
+    public stop(): void {
+        this.stopping = true;
+        this.report();
+    }
+
+    /** Attaches an entry for as long as its channel is open. */
+    public attach(channel: Channel): void {
+        this.count += 1;
+        const owner = `${channel.peer.id}#${this.count}`;
+        const link = new EntryLink(channel, owner, this.session, this.runs, this.clock, this.log);
+        this.attached.set(owner, { channel, link, ends: [] });
+        this.log.write(LeaseEvent.EntryAttached, { owner, incarnation: channel.peer.incarnation });
+        channel.onMessage(message => {
+            link.heard();
+            this.receive(link, message);
+        });
+        channel.onClose(reason => {
+            this.attached.delete(owner);
+            this.log.write(LeaseEvent.EntryDetached, { owner, reason });
+            link.dispose();
+        });
+        if (this.routes.document !== undefined) {
+            channel.send({ kind: "routes", document: this.routes.document });
+        }
+        this.report();
+    }
+
+    public dispose(): void {
+        this.cancelReport?.();
+        this.cancelHeartbeat?.();
+        this.cancelEnds?.();
+        for (const { channel } of [...this.attached.values()]) {
+            channel.close("agent stops");
+        }
+    }
+
+    private receive(link: EntryLink, message: Message): void {
+        switch (message.kind) {
+            case "tenure":
+                link.takeTenure(message);
+                break;
+            case "run":
+                link.takeOrder(message);
+                break;
+            case "abort":
+                link.takeAbort(message);
+                break;
+            case "routes":
+                this.routes.offer(message.document);
+                break;
+            case "entries":
+                this.learnEntries(message.addresses);
+                break;
+            default:
+                break;
+        }
+    }
+
+    private queueEnd(owner: string, end: RunEnd): void {
+        this.attached.get(owner)?.ends.push(end);
+        this.cancelEnds ??= this.clock.schedule(ENDS_DELAY_MS, () => {
+            this.cancelEnds = undefined;
+            this.sendEnds();
+        });
+    }
+
+    private sendEnds(): void {
+        for (const { channel, ends } of this.attached.values()) {
+            if (ends.length > 0) {
+                channel.send({ kind: "ended", runs: ends.splice(0) });
+            }
+        }
+    }
+
+    private heartbeat(): void {
+        this.report();
+        this.cancelHeartbeat = this.clock.schedule(REPORT_INTERVAL_MS, () => {
+            this.heartbeat();
+        });
+    }
+
+    private report(): void {
+        const condition = this.condition();
+        for (const { channel, link } of this.attached.values()) {
+            channel.send({ kind: "load", condition, orders: link.orderCount, tenured: link.isTenured });
+        }
+    }
+
+    private condition(): EndpointCondition {
+        const report = this.session.report;
+        const clockMs = this.session.clockMs;
+        const sound = this.session.alive && clockMs !== undefined;
+        return {
+            service: report?.service ?? "",
+            endpoint: report?.life.id ?? "",
+            labels: report?.labels ?? [],
+            capacity: report?.capacity ?? NO_RESOURCES,
+            used: this.runs.used,
+            accepting: report !== undefined && sound && !report.draining && !this.stopping,
+            slowness: this.runs.slownessValue,
+            clockMs: clockMs ?? 0,
+        };
+    }
+
+    private sendAll(message: Message): void {
+        for (const { channel } of this.attached.values()) {
+            channel.send(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/leased/LeasedAgent.ts
@@ -0,0 +1,75 @@
+import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
+import type { RoutingTable } from "../../common/leased/RoutingTable.js";
+import type { Runtime } from "../../common/Runtime.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { EndpointControl } from "./EndpointControl.js";
+import type { EndpointReport } from "./EndpointReport.js";
+import { EndpointSession } from "./EndpointSession.js";
+import { EntryDialer } from "./EntryDialer.js";
+import { EntryLinks } from "./EntryLinks.js";
+import { LeaseEvent } from "./LeaseEvent.js";
+import { Runs } from "./Runs.js";
+
+/** How often a stopping agent looks whether its runs have ended. */
+const DRAIN_CHECK_MS = 25;
+
+/** Agent that runs tasks under leases at the endpoint beside it, on the orders of the entries that it is attached to. */
+export class LeasedAgent implements Disposable {
+    private readonly disposables = new DisposableStore();
+    private readonly session: EndpointSession;
+    private readonly runs: Runs;
+    private readonly links: EntryLinks;
+    private readonly dialer: EntryDialer;
+
+    constructor(
+        control: EndpointControl,
+        routes: RoutingTable,
+        dial: (address: string) => Promise<Channel>,
+        private readonly runtime: Runtime,
+        fence: number,
+    ) {
+        const { clock, log } = runtime;
+        this.session = this.disposables.add(new EndpointSession(control, clock, log, fence));
+        this.runs = this.disposables.add(new Runs(this.session, clock, log));
+        const learn = (addresses: readonly string[]) => this.dialer.learn(addresses);
+        this.links = this.disposables.add(new EntryLinks(this.session, this.runs, routes, learn, clock, log));
+        this.dialer = this.disposables.add(new EntryDialer(dial, channel => this.links.attach(channel), clock, log));
+    }
+
+    /** Takes a heartbeat of the endpoint. */
+    public announce(report: EndpointReport): void {
+        this.session.announce(report);
+        this.links.reportSoon();
+    }
+
+    /** Takes the farewell of the endpoint named `id`. */
+    public leave(id: string): void {
+        if (this.session.report?.life.id === id) {
+            this.session.leave();
+            this.links.reportSoon();
+        }
+    }
+
+    /** Learns addresses of entries. */
+    public learnEntries(addresses: readonly string[]): void {
+        this.dialer.learn(addresses);
+    }
+
+    /** Takes no more orders and waits until the runs have ended, for at most `limitMs`. Returns the names of those left. */
+    public async drain(limitMs: number): Promise<readonly string[]> {
+        this.runtime.log.write(LeaseEvent.Stopping, { runs: this.runs.count, limitMs });
+        this.links.stop();
+        const until = this.runtime.clock.now() + limitMs;
+        while (this.runs.count > 0 && this.runtime.clock.now() < until) {
+            await new Promise<void>(resolve => {
+                this.runtime.clock.schedule(DRAIN_CHECK_MS, resolve);
+            });
+        }
+        return this.runs.names;
+    }
+
+    public dispose(): void {
+        this.disposables.dispose();
+    }
+}
--- /dev/null
+++ b/src/agent/leased/RunList.ts
@@ -0,0 +1,7 @@
+import type { FinishedRun } from "./FinishedRun.js";
+
+/** What runs at an endpoint and what has ended there without being acknowledged. */
+export interface RunList {
+    readonly running: readonly { readonly task: string; readonly run: number; }[];
+    readonly finished: readonly FinishedRun[];
+}
--- a/src/cli/registerRoles.ts
+++ b/src/cli/registerRoles.ts
@@ -22,6 +22,12 @@
     add("endpoint", "Run the stand-in for an endpoint", async () => {
         return (await import("./commands/runEndpoint.js")).runEndpoint;
     });
+    program.command("node")
+        .description("Run an entry or agent on a machine of the platform, as its settings file says")
+        .option("--settings <file>", "settings file of the platform; default is the one in WAXWINGSHUNT_CONFIG")
+        .action(async (options: { readonly settings?: string; }) => {
+            finish(await (await import("./commands/runNode.js")).runNode(terminal, options));
+        });
     program.command("demo")
         .description("Run a whole deployment on loopback, submit one job and stop everything")
         .action(async () => {
--- /dev/null
+++ b/src/common/leased/Resources.ts
@@ -0,0 +1,7 @@
+/** Amounts of what a task occupies at an endpoint. */
+export interface Resources {
+    /** Thousandths of a core. */
+    readonly cpu: number;
+    readonly memoryMb: number;
+    readonly gpu: number;
+}
--- /dev/null
+++ b/src/common/leased/RunEnd.ts
@@ -0,0 +1,13 @@
+import type { RunResult } from "./RunResult.js";
+
+/** Report of an agent that a run is over. */
+export interface RunEnd {
+    /** Name of the task. */
+    readonly task: string;
+    /** Number of the last run that the agent ordered. */
+    readonly run: number;
+    readonly result: RunResult;
+    /** Time from the start order to the end, in milliseconds. */
+    readonly ranMs: number;
+    readonly reason: string;
+}
--- /dev/null
+++ b/src/common/leased/RunResult.ts
@@ -0,0 +1,14 @@
+/** How a run of a task ended, or why it never began. */
+export const RunResult = {
+    Done: "done",
+    /** The task or its endpoint failed. */
+    Failed: "failed",
+    /** Stopped by an order, or its lease lapsed; the task may run again. */
+    Stopped: "stopped",
+    /** Never began and never will. */
+    NotStarted: "not_started",
+    /** Never began: the endpoint refuses work. */
+    Refused: "refused",
+} as const;
+
+export type RunResult = typeof RunResult[keyof typeof RunResult];
--- a/src/common/log/RoarrLog.ts
+++ b/src/common/log/RoarrLog.ts
@@ -7,15 +7,13 @@
 
 type Logger = typeof Roarr;
 
-/** Log that writes one JSON line per event to standard error through roarr. */
+/** Log that writes one JSON line per event through roarr, to standard error where nothing else is said. */
 export class RoarrLog implements Log {
     private constructor(private readonly logger: Logger) {}
 
-    /** Creates the root log of a process and points roarr at standard error. */
-    public static create(fields: LogFields): RoarrLog {
-        ROARR.write = line => {
-            process.stderr.write(line + "\n");
-        };
+    /** Creates the root log of a process and points roarr at `write`, which gets lines without their end. */
+    public static create(fields: LogFields, write: (line: string) => void = writeToStandardError): RoarrLog {
+        ROARR.write = write;
         return new RoarrLog(Roarr.child(toContext(fields)));
     }
 
@@ -28,6 +26,10 @@
     }
 }
 
+function writeToStandardError(line: string): void {
+    process.stderr.write(line + "\n");
+}
+
 function toContext(fields: LogFields): Parameters<Logger["child"]>[0] & object {
     return fields as Parameters<Logger["child"]>[0] & object;
 }
--- a/src/common/wire/Message.ts
+++ b/src/common/wire/Message.ts
@@ -1,4 +1,5 @@
 import type { FaultCode } from "../FaultCode.js";
+import type { LeaseMessage } from "../leased/LeaseMessage.js";
 import type { Verdict } from "../Verdict.js";
 import type { Hello } from "./Hello.js";
 import type { Member } from "./Member.js";
@@ -220,4 +221,5 @@
     | Configuration
     | Call
     | Reply
-    | Goodbye;
+    | Goodbye
+    | LeaseMessage;
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -54,6 +54,37 @@
     revision: isCount,
 });
 
+const RESOURCES = shapeOf({ cpu: isNumber, memoryMb: isNumber, gpu: isNumber });
+const CONDITION = shapeOf({
+    service: isString,
+    endpoint: isString,
+    labels: listOf(isString),
+    capacity: RESOURCES,
+    used: RESOURCES,
+    accepting: isBoolean,
+    slowness: isNumber,
+    clockMs: isNumber,
+});
+const ROUTE = shapeOf({
+    name: isString,
+    host: isString,
+    prefix: isString,
+    service: isString,
+    priority: isNumber,
+    maxAttempts: isNumber,
+    timeoutMs: isNumber,
+    targetMs: isNumber,
+    stretch: isNumber,
+    advised: isBoolean,
+});
+const RUN_END = shapeOf({
+    task: isString,
+    run: isCount,
+    result: oneOf("done", "failed", "stopped", "not_started", "refused"),
+    ranMs: isNumber,
+    reason: isString,
+});
+
 /** Field checks of each message kind. */
 const SHAPES: Readonly<Record<Message["kind"], Shape>> = {
     hello: {
@@ -119,6 +150,23 @@
         })),
     },
     goodbye: { reason: isString },
+    run: {
+        order: isCount,
+        job: isString,
+        spec: isString,
+        tasks: listOf(shapeOf({ name: isString, run: isCount })),
+        need: RESOURCES,
+        estimateMs: isNumber,
+        startBeforeMs: isNumber,
+    },
+    abort: { tasks: listOf(isString), reason: isString },
+    tenure: { untilMs: isNumber },
+    load: { condition: CONDITION, orders: isCount, tenured: isBoolean },
+    ended: { runs: listOf(RUN_END) },
+    routes: {
+        document: shapeOf({ version: isNumber, routes: listOf(ROUTE), maxBodyBytes: isNumber }),
+    },
+    entries: { addresses: listOf(isString) },
 };
 
 /** Checks a decoded frame body field by field and returns it as a message, or a `protocol` fault naming the field. */
--- a/src/common/wire/dial.ts
+++ b/src/common/wire/dial.ts
@@ -15,6 +15,7 @@
     secret: string,
     log: Log,
     metrics?: Metrics,
+    connectTimeoutMs = CONNECT_TIMEOUT_MS,
 ): Promise<Connection> {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
@@ -23,7 +24,7 @@
         const socket = connect({ host, port });
         const timer = setTimeout(() => {
             socket.destroy(new Error("connect timed out"));
-        }, CONNECT_TIMEOUT_MS);
+        }, connectTimeoutMs);
         const onError = (error: Error) => {
             clearTimeout(timer);
             reject(new Fault(FaultCode.Protocol, `cannot connect to ${address}: ${error.message}`));
--- a/src/entry/HttpServer.ts
+++ b/src/entry/HttpServer.ts
@@ -1,12 +1,10 @@
 import { getRequestListener } from "@hono/node-server";
-import type { Hono } from "hono";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { FaultCode } from "../common/FaultCode.js";
 import type { Log } from "../common/log/Log.js";
 import { Verdict } from "../common/Verdict.js";
 import { EntryEvent } from "./EntryEvent.js";
-import type { HttpEnvironment } from "./filters/HttpEnvironment.js";
 import { errorBody } from "./routes/errorBody.js";
 
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -33,12 +31,17 @@
     ERR_HTTP_REQUEST_TIMEOUT: ["408 Request Timeout", FaultCode.Timeout, "the request did not arrive in time"],
 };
 
-/** HTTP listener of an entry. */
+/** Application that answers requests, such as one of hono. */
+interface Application {
+    readonly fetch: Parameters<typeof getRequestListener>[0];
+}
+
+/** HTTP listener of a role. */
 export class HttpServer {
     private constructor(private readonly server: Server) {}
 
     public static async listen(
-        app: Hono<HttpEnvironment>,
+        app: Application,
         address: { readonly host: string; readonly port: number; },
         log: Log,
     ): Promise<HttpServer> {
--- /dev/null
+++ b/src/entry/leased/AgentChannels.ts
@@ -0,0 +1,158 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { Emitter } from "../../common/Emitter.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import type { RoutingTable } from "../../common/leased/RoutingTable.js";
+import type { RunEnd } from "../../common/leased/RunEnd.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { Message } from "../../common/wire/Message.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+import { AgentView } from "./AgentView.js";
+import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
+
+interface AgentEnds {
+    readonly agent: AgentView;
+    readonly runs: readonly RunEnd[];
+}
+
+/** Controller of the attached agents: tenures, reports, losses, and the spread of routing documents and addresses. */
+export class AgentChannels implements Disposable {
+    private readonly views = new Map<string, AgentView>();
+    private readonly ends = new Emitter<AgentEnds>();
+    private readonly losses = new Emitter<AgentView>();
+    private readonly loads = new Emitter<AgentView>();
+    private cancelTenure: (() => void) | undefined;
+
+    public readonly onEnded = this.ends.event;
+    /** Fires with an agent whose runs can no longer be followed. */
+    public readonly onLost = this.losses.event;
+    /** Fires when more room may be free. */
+    public readonly onLoad = this.loads.event;
+
+    constructor(
+        private readonly routes: RoutingTable,
+        private readonly entryAddresses: () => readonly string[],
+        private readonly clock: Clock,
+        private readonly log: Log,
+    ) {
+        routes.onChange(document => {
+            log.write(EntryLeaseEvent.RoutesTaken, { version: document.version });
+            this.sendAll({ kind: "routes", document });
+        });
+        this.renewTenures();
+    }
+
+    public get agents(): Iterable<AgentView> {
+        return this.views.values();
+    }
+
+    public get(id: string): AgentView | undefined {
+        return this.views.get(id);
+    }
+
+    /** Attaches an agent; an older channel of the same VM is given up. */
+    public attach(channel: Channel): void {
+        const id = channel.peer.id;
+        const older = this.views.get(id);
+        if (older !== undefined) {
+            this.lose(older, "attached again");
+        }
+        const view = new AgentView(id, channel.peer.failureDomain, channel);
+        this.views.set(id, view);
+        this.log.write(EntryLeaseEvent.AgentAttached, { agent: id, incarnation: channel.peer.incarnation });
+        channel.onMessage(message => {
+            if (this.views.get(id) === view) {
+                this.receive(view, message);
+            }
+        });
+        channel.onClose(reason => {
+            this.lose(view, reason);
+        });
+        this.introduce(channel);
+    }
+
+    /** Tells all agents the addresses of entries that became known. */
+    public spreadEntries(): void {
+        this.sendAll({ kind: "entries", addresses: this.entryAddresses() });
+    }
+
+    public dispose(): void {
+        this.cancelTenure?.();
+        for (const view of [...this.views.values()]) {
+            view.channel.close("entry stops");
+        }
+    }
+
+    private introduce(channel: Channel): void {
+        channel.send({ kind: "entries", addresses: this.entryAddresses() });
+        if (this.routes.document !== undefined) {
+            channel.send({ kind: "routes", document: this.routes.document });
+        }
+    }
+
+    private receive(view: AgentView, message: Message): void {
+        switch (message.kind) {
+            case "load":
+                this.takeLoad(view, message);
+                break;
+            case "ended":
+                this.ends.fire({ agent: view, runs: message.runs });
+                break;
+            case "routes":
+                this.routes.offer(message.document);
+                break;
+            default:
+                break;
+        }
+    }
+
+    private takeLoad(view: AgentView, message: MessageOf<"load">): void {
+        const before = view.current;
+        view.take(message, this.clock.now());
+        const after = message.condition;
+        if (before?.accepting !== after.accepting || before.endpoint !== after.endpoint) {
+            const { endpoint, service, accepting } = after;
+            this.log.write(EntryLeaseEvent.EndpointChanged, { agent: view.id, endpoint, service, accepting });
+        }
+        if (before === undefined || (before.clockMs === 0 && after.clockMs !== 0) || !message.tenured) {
+            this.renewTenure(view);
+        }
+        this.loads.fire(view);
+    }
+
+    private renewTenures(): void {
+        for (const view of [...this.views.values()]) {
+            if (view.current !== undefined && view.ageMs(this.clock.now()) > LEASE_TIMES.AGENT_SILENCE_MS) {
+                this.lose(view, "silent");
+                view.channel.dispose();
+            }
+            else {
+                this.renewTenure(view);
+            }
+        }
+        this.cancelTenure = this.clock.schedule(LEASE_TIMES.TENURE_INTERVAL_MS, () => {
+            this.renewTenures();
+        });
+    }
+
+    private renewTenure(view: AgentView): void {
+        const clockMs = view.clockMs(this.clock.now());
+        view.channel.send({ kind: "tenure", untilMs: clockMs === undefined ? 0 : clockMs + LEASE_TIMES.TENURE_MS });
+    }
+
+    private lose(view: AgentView, reason: string): void {
+        if (this.views.get(view.id) !== view) {
+            return;
+        }
+        this.views.delete(view.id);
+        this.log.write(EntryLeaseEvent.AgentLost, { agent: view.id, reason, tasks: [...view.tasks] });
+        this.losses.fire(view);
+    }
+
+    private sendAll(message: Message): void {
+        for (const view of this.views.values()) {
+            view.channel.send(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/leased/AgentView.ts
@@ -0,0 +1,78 @@
+import { addResources } from "../../common/leased/addResources.js";
+import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
+import type { Resources } from "../../common/leased/Resources.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { MessageOf } from "../../common/wire/MessageOf.js";
+
+interface OpenOrder {
+    readonly number: number;
+    readonly need: Resources;
+}
+
+/** What the entry knows of one attached agent. */
+export class AgentView {
+    /** Names of the tasks that the entry has ordered here and that have not ended. */
+    public readonly tasks = new Set<string>();
+    private condition: EndpointCondition | undefined;
+    private receivedAt = 0;
+    private tenured = false;
+    private lastOrder = 0;
+    /** Orders that the last report does not count yet. */
+    private openOrders: OpenOrder[] = [];
+
+    constructor(
+        /** Name of the agent's VM. */
+        public readonly id: string,
+        public readonly failureDomain: string,
+        public readonly channel: Channel,
+    ) {}
+
+    public get current(): EndpointCondition | undefined {
+        return this.condition;
+    }
+
+    /** Whether the agent can be given tasks. */
+    public get accepting(): boolean {
+        return this.tenured && this.condition?.accepting === true;
+    }
+
+    /** Age of the newest report in milliseconds. */
+    public ageMs(now: number): number {
+        return now - this.receivedAt;
+    }
+
+    /** Takes a report of the agent. */
+    public take(message: MessageOf<"load">, now: number): void {
+        this.condition = message.condition;
+        this.tenured = message.tenured;
+        this.receivedAt = now;
+        this.openOrders = this.openOrders.filter(order => order.number > message.orders);
+    }
+
+    /** Estimate of the endpoint's clock, behind it by the one-way delay; undefined while nothing is known. */
+    public clockMs(now: number): number | undefined {
+        const reported = this.condition?.clockMs ?? 0;
+        return reported === 0 ? undefined : Math.floor(reported + now - this.receivedAt);
+    }
+
+    /** Room that neither the agent's report nor a later order of this entry takes. */
+    public free(): Resources {
+        const condition = this.condition;
+        if (condition === undefined) {
+            return { cpu: 0, memoryMb: 0, gpu: 0 };
+        }
+        const reported = addResources(condition.capacity, condition.used, -1);
+        return this.openOrders.reduce((sum, order) => addResources(sum, order.need, -1), reported);
+    }
+
+    /** Takes room for a task of the order that the next `commit` numbers. */
+    public reserve(need: Resources): void {
+        this.openOrders.push({ number: this.lastOrder + 1, need });
+    }
+
+    /** Returns the number of the order that is sent now. */
+    public commit(): number {
+        this.lastOrder += 1;
+        return this.lastOrder;
+    }
+}
--- /dev/null
+++ b/src/entry/leased/Dispatcher.ts
@@ -0,0 +1,395 @@
+import { match } from "ts-pattern";
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import type { JobOrder } from "../../common/leased/JobOrder.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import type { Route } from "../../common/leased/Route.js";
+import type { RunEnd } from "../../common/leased/RunEnd.js";
+import { RunResult } from "../../common/leased/RunResult.js";
+import type { Step } from "../../common/leased/Step.js";
+import type { Log } from "../../common/log/Log.js";
+import type { Metrics } from "../../common/Metrics.js";
+import { Verdict } from "../../common/Verdict.js";
+import type { AgentChannels } from "./AgentChannels.js";
+import type { AgentHealth } from "./AgentHealth.js";
+import type { AgentView } from "./AgentView.js";
+import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
+import type { JobOrdering } from "./JobOrdering.js";
+import type { JobOutcome } from "./JobOutcome.js";
+import type { LeasedJob } from "./LeasedJob.js";
+import type { LeasedPlacement } from "./LeasedPlacement.js";
+import type { LeasedTask } from "./LeasedTask.js";
+import { newJob } from "./newJob.js";
+import type { Patience } from "./Patience.js";
+import { TaskState } from "./TaskState.js";
+
+/** How often waiting jobs are looked at while nothing else happens. */
+const TICK_MS = 10;
+
+/** Time after its deadline at which a job that still runs is given up, for answers that are about to come. */
+const OVERTIME_MS = 100;
+
+/** Jobs at the front of the queue for which room is sought in one pass. */
+const MAX_SCANNED_JOBS = 64;
+
+/** Answers that are kept for callers that submit again after the end. */
+const MAX_KEPT_ANSWERS = 2000;
+
+/** Shortest time to tell a refused caller to stay away, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 1000;
+
+/** Tasks of one step of one job that go to one agent. */
+interface Batch {
+    readonly agent: AgentView;
+    readonly step: Step;
+    readonly tasks: LeasedTask[];
+}
+
+/** Task that owns the jobs of an entry: their queue, placement, retries and answers. */
+export class Dispatcher implements Disposable {
+    private readonly jobs = new Map<string, LeasedJob>();
+    private readonly byTask = new Map<string, LeasedJob>();
+    private readonly answers = new Map<string, JobOutcome>();
+    private cancelPass: (() => void) | undefined;
+    private cancelTick: (() => void) | undefined;
+
+    constructor(
+        private readonly channels: AgentChannels,
+        private readonly health: AgentHealth,
+        private readonly placement: LeasedPlacement,
+        private readonly ordering: JobOrdering,
+        private readonly patience: Patience,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private readonly metrics: Metrics,
+    ) {
+        channels.onEnded(({ agent, runs }) => {
+            runs.forEach(end => {
+                this.takeEnd(agent, end);
+            });
+        });
+        channels.onLost(agent => {
+            this.takeLoss(agent);
+        });
+        channels.onLoad(() => {
+            this.passSoon();
+        });
+    }
+
+    public get size(): number {
+        return this.jobs.size;
+    }
+
+    /** Jobs of a route for which no task was ordered yet. */
+    public pending(route: string): number {
+        return [...this.jobs.values()].filter(job => job.route.name === route && !job.offered).length;
+    }
+
+    /**
+     * Runs a job and resolves with its outcome. A job that is already here is joined. `budgetMs` is how long the caller
+     * waits; `left` aborts when the caller has gone.
+     */
+    public submit(order: JobOrder, route: Route, budgetMs: number, left: AbortSignal): Promise<JobOutcome> {
+        const kept = this.answers.get(order.id);
+        if (kept !== undefined) {
+            return Promise.resolve(kept);
+        }
+        const known = this.jobs.get(order.id);
+        const job = known ?? this.take(order, route, budgetMs);
+        if (known !== undefined) {
+            this.log.write(EntryLeaseEvent.JobJoined, { job: order.id });
+        }
+        job.callers += 1;
+        left.addEventListener("abort", () => {
+            this.callerLeft(job);
+        }, { once: true });
+        return job.outcome;
+    }
+
+    /** State of a job that is here or was answered lately. */
+    public stateOf(id: string): "queued" | "active" | "completed" | "failed" | undefined {
+        const job = this.jobs.get(id);
+        if (job !== undefined) {
+            return job.offered ? "active" : "queued";
+        }
+        const kept = this.answers.get(id);
+        return kept === undefined || kept.kind === "refused" ? undefined : kept.kind;
+    }
+
+    /** Cancels a job; returns false when it is not here. */
+    public cancel(id: string): boolean {
+        const job = this.jobs.get(id);
+        if (job !== undefined) {
+            const verdict = job.offered ? Verdict.MayHaveRun : Verdict.NotRun;
+            this.answer(job, { kind: "refused", verdict, reason: "cancelled", retryAfterMs: 0 });
+        }
+        return job !== undefined;
+    }
+
+    public dispose(): void {
+        this.cancelPass?.();
+        this.cancelTick?.();
+    }
+
+    private take(order: JobOrder, route: Route, budgetMs: number): LeasedJob {
+        const job = newJob(order, route, this.clock.now(), budgetMs);
+        this.jobs.set(order.id, job);
+        job.tasks.forEach(task => this.byTask.set(task.name, job));
+        this.metrics.increment("jobs.taken");
+        this.log.write(EntryLeaseEvent.JobTaken, {
+            job: order.id,
+            route: route.name,
+            tasks: job.tasks.length,
+            chainMs: Math.round(job.chainMs),
+            budgetMs,
+            queued: this.jobs.size,
+        });
+        this.passSoon();
+        return job;
+    }
+
+    private callerLeft(job: LeasedJob): void {
+        job.callers -= 1;
+        if (job.callers > 0 || this.jobs.get(job.order.id) !== job) {
+            return;
+        }
+        this.log.write(EntryLeaseEvent.CallerLeft, { job: job.order.id, offered: job.offered });
+        this.cancel(job.order.id);
+    }
+
+    private takeEnd(agent: AgentView, end: RunEnd): void {
+        agent.tasks.delete(end.task);
+        const job = this.byTask.get(end.task);
+        const task = job?.tasks.find(candidate => candidate.name === end.task);
+        if (job === undefined || task === undefined || task.state !== TaskState.Placed || task.agent !== agent.id) {
+            return;
+        }
+        task.agent = undefined;
+        task.run = Math.max(task.run, end.run + 1);
+        match(end.result)
+            .with(RunResult.Done, () => {
+                this.health.succeeded(agent.id);
+                this.metrics.timing("task.run_ms", end.ranMs);
+                this.takeDone(job, task);
+            })
+            .with(RunResult.Failed, () => {
+                this.takeFailure(agent, job, task, end);
+            })
+            .with(RunResult.Refused, () => {
+                task.avoided.add(agent.id);
+                this.noteFailure(agent.id);
+                this.giveBack(job, task, end);
+            })
+            .with(RunResult.Stopped, RunResult.NotStarted, () => {
+                this.giveBack(job, task, end);
+            })
+            .exhaustive();
+    }
+
+    private takeDone(job: LeasedJob, task: LeasedTask): void {
+        task.state = TaskState.Done;
+        if (job.tasks.every(other => other.state === TaskState.Done)) {
+            this.answer(job, { kind: "completed" });
+            return;
+        }
+        this.unblock(job);
+    }
+
+    /** Readies the steps whose earlier steps are all done. */
+    private unblock(job: LeasedJob): void {
+        const open = new Set(job.tasks.filter(task => task.state !== TaskState.Done).map(task => task.step));
+        for (const task of job.tasks) {
+            const after = job.order.steps[task.step]?.after ?? [];
+            if (task.state === TaskState.Blocked && !after.some(step => open.has(step))) {
+                task.state = TaskState.Ready;
+                this.passSoon();
+            }
+        }
+    }
+
+    private takeFailure(agent: AgentView, job: LeasedJob, task: LeasedTask, end: RunEnd): void {
+        task.failures += 1;
+        task.avoided.add(agent.id);
+        this.noteFailure(agent.id);
+        if (task.failures >= job.route.maxAttempts) {
+            this.answer(job, { kind: "failed", reason: `task ${task.name} failed ${task.failures} times` });
+            return;
+        }
+        this.giveBack(job, task, end);
+    }
+
+    private noteFailure(agent: string): void {
+        if (this.health.failed(agent)) {
+            this.log.write(EntryLeaseEvent.AgentEjected, { agent });
+        }
+    }
+
+    private giveBack(job: LeasedJob, task: LeasedTask, end: RunEnd): void {
+        task.state = TaskState.Ready;
+        const { result, reason, run } = end;
+        this.log.write(EntryLeaseEvent.TaskReturned, { job: job.order.id, task: task.name, run, result, reason });
+        this.passSoon();
+    }
+
+    private takeLoss(agent: AgentView): void {
+        this.health.forget(agent.id);
+        for (const name of agent.tasks) {
+            const job = this.byTask.get(name);
+            const task = job?.tasks.find(candidate => candidate.name === name);
+            if (job !== undefined && task?.state === TaskState.Placed && task.agent === agent.id) {
+                task.state = TaskState.Unknown;
+                task.agent = undefined;
+                this.clock.schedule(LEASE_TIMES.LOST_RUN_MS, () => {
+                    this.takeLapse(job, task);
+                });
+            }
+        }
+    }
+
+    private takeLapse(job: LeasedJob, task: LeasedTask): void {
+        if (this.jobs.get(job.order.id) === job && task.state === TaskState.Unknown) {
+            task.run += 1;
+            const { name, run } = task;
+            this.giveBack(job, task, { task: name, run, result: RunResult.Stopped, ranMs: 0, reason: "agent lost" });
+        }
+    }
+
+    private answer(job: LeasedJob, outcome: JobOutcome): void {
+        const { id } = job.order;
+        this.jobs.delete(id);
+        job.tasks.forEach(task => this.byTask.delete(task.name));
+        this.abortRest(job, outcome.kind);
+        if (outcome.kind !== "refused") {
+            this.keep(id, outcome);
+        }
+        const elapsedMs = Math.round(this.clock.now() - job.arrivedAt);
+        this.metrics.increment(`jobs.${outcome.kind}`);
+        this.metrics.timing("job.elapsed_ms", elapsedMs);
+        const inTarget = this.clock.now() <= job.targetAt;
+        this.log.write(EntryLeaseEvent.JobAnswered, { job: id, ...outcome, elapsedMs, inTarget, offered: job.offered });
+        job.settle(outcome);
+        this.passSoon();
+    }
+
+    private abortRest(job: LeasedJob, reason: string): void {
+        const byAgent = new Map<string, string[]>();
+        for (const task of job.tasks) {
+            if (task.state === TaskState.Placed && task.agent !== undefined) {
+                const names = byAgent.get(task.agent) ?? [];
+                byAgent.set(task.agent, [...names, task.name]);
+            }
+        }
+        for (const [agent, tasks] of byAgent) {
+            this.channels.get(agent)?.channel.send({ kind: "abort", tasks, reason: `job ${reason}` });
+        }
+    }
+
+    private keep(id: string, outcome: JobOutcome): void {
+        this.answers.set(id, outcome);
+        const oldest = this.answers.keys().next().value;
+        if (this.answers.size > MAX_KEPT_ANSWERS && oldest !== undefined) {
+            this.answers.delete(oldest);
+        }
+    }
+
+    private passSoon(): void {
+        this.cancelPass ??= this.clock.schedule(0, () => {
+            this.cancelPass = undefined;
+            this.pass();
+        });
+    }
+
+    private tickOn(): void {
+        this.cancelTick ??= this.clock.schedule(TICK_MS, () => {
+            this.cancelTick = undefined;
+            this.pass();
+        });
+    }
+
+    /** Gives free room to the waiting jobs in their order, and ends those whose time is over. */
+    private pass(): void {
+        const now = this.clock.now();
+        this.endOverdue(now);
+        const waiting = [...this.jobs.values()].filter(job => job.tasks.some(task => task.state === TaskState.Ready));
+        const ordered = waiting
+            .map(job => ({ job, key: this.ordering.key(job, now) }))
+            .sort((a, b) => a.key - b.key)
+            .slice(0, MAX_SCANNED_JOBS);
+        for (const { job } of ordered) {
+            this.place(job, now);
+        }
+        if (this.jobs.size > 0) {
+            this.tickOn();
+        }
+    }
+
+    private endOverdue(now: number): void {
+        for (const job of [...this.jobs.values()]) {
+            if (!job.offered && now >= this.patience.refuseAt(job)) {
+                this.refuse(job, Verdict.NotRun, "no room in time");
+            }
+            else if (now >= job.deadlineAt + OVERTIME_MS) {
+                this.refuse(job, job.offered ? Verdict.MayHaveRun : Verdict.NotRun, "time is over");
+            }
+        }
+    }
+
+    private refuse(job: LeasedJob, verdict: Verdict, reason: string): void {
+        this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: MIN_RETRY_AFTER_MS });
+    }
+
+    private place(job: LeasedJob, now: number): void {
+        const batches = new Map<string, Batch>();
+        for (const task of job.tasks) {
+            const step = job.order.steps[task.step];
+            if (task.state !== TaskState.Ready || step === undefined) {
+                continue;
+            }
+            const agent = this.placement.choose({ job, step, task, now }, this.channels.agents);
+            if (agent === undefined) {
+                break;
+            }
+            this.assign(task, agent, step, batches, now);
+        }
+        for (const batch of batches.values()) {
+            this.send(job, batch, now);
+        }
+    }
+
+    private assign(task: LeasedTask, agent: AgentView, step: Step, batches: Map<string, Batch>, now: number): void {
+        task.state = TaskState.Placed;
+        task.agent = agent.id;
+        task.placedAt = now;
+        agent.tasks.add(task.name);
+        const key = `${agent.id} ${task.step}`;
+        const batch = batches.get(key) ?? { agent, step, tasks: [] };
+        batch.tasks.push(task);
+        batches.set(key, batch);
+        agent.reserve(step.need);
+    }
+
+    private send(job: LeasedJob, { agent, step, tasks }: Batch, now: number): void {
+        job.offered = true;
+        const clockMs = agent.clockMs(now) ?? 0;
+        agent.channel.send({
+            kind: "run",
+            order: agent.commit(),
+            job: job.order.id,
+            spec: job.order.spec,
+            tasks: tasks.map(({ name, run }) => ({ name, run })),
+            need: step.need,
+            estimateMs: step.estimateMs,
+            startBeforeMs: clockMs + LEASE_TIMES.START_WINDOW_MS,
+        });
+        this.metrics.increment("tasks.placed", tasks.length);
+        this.log.write(EntryLeaseEvent.TasksPlaced, {
+            job: job.order.id,
+            tasks: tasks.map(({ name, run }) => `${name}/${run}`),
+            agent: agent.id,
+            waitedMs: Math.round(now - job.arrivedAt),
+            reportAgeMs: Math.round(agent.ageMs(now)),
+            slowness: Number((agent.current?.slowness ?? 1).toFixed(2)),
+            freeCpu: Math.round(agent.free().cpu),
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/leased/FastestEndpoint.ts
@@ -0,0 +1,70 @@
+import { fits } from "../../common/leased/fits.js";
+import type { Random } from "../../common/Random.js";
+import type { AgentHealth } from "./AgentHealth.js";
+import type { AgentView } from "./AgentView.js";
+import type { LeasedPlacement } from "./LeasedPlacement.js";
+import type { PlacementQuestion } from "./PlacementQuestion.js";
+
+/** Run times on racks without the task's data, as a multiple. */
+const REMOTE_FACTOR = 1.5;
+
+/** Weight of an agent that failed its last task, as a multiple of its run time. */
+const SUSPECT_FACTOR = 1.5;
+
+/** How much of its room an endpoint may have in use before that counts against it, and the share that it then adds. */
+const CROWDING_SHARE = 0.1;
+
+/** Random part of a cost, so that entries that see the same reports do not all choose the same endpoint. */
+const JITTER_SHARE = 0.05;
+
+/** Gives each task to the endpoint with room that is expected to finish it first. */
+export class FastestEndpoint implements LeasedPlacement {
+    constructor(private readonly health: AgentHealth, private readonly random: Random) {}
+
+    public choose(question: PlacementQuestion, agents: Iterable<AgentView>): AgentView | undefined {
+        let best: AgentView | undefined;
+        let bestCost = Number.POSITIVE_INFINITY;
+        for (const agent of agents) {
+            if (!this.eligible(question, agent)) {
+                continue;
+            }
+            const cost = this.costMs(question, agent);
+            if (cost < bestCost) {
+                best = agent;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private eligible({ job, step, task }: PlacementQuestion, agent: AgentView): boolean {
+        const condition = agent.current;
+        if (condition === undefined || !agent.accepting || condition.service !== job.route.service) {
+            return false;
+        }
+        const labelled = step.requiredLabel === undefined || condition.labels.includes(step.requiredLabel);
+        if (!labelled || task.avoided.has(agent.id) || !this.health.sound(agent.id)) {
+            return false;
+        }
+        return fits(step.need, agent.free()) && this.belowSpread({ job, step, task, now: 0 }, agent);
+    }
+
+    private belowSpread({ job, step, task }: PlacementQuestion, agent: AgentView): boolean {
+        if (step.maxPerEndpoint === 0) {
+            return true;
+        }
+        const here = job.tasks.filter(other => other.step === task.step && other.agent === agent.id).length;
+        return here < step.maxPerEndpoint;
+    }
+
+    private costMs({ step }: PlacementQuestion, agent: AgentView): number {
+        const condition = agent.current;
+        const slowness = condition?.slowness ?? 1;
+        const capacity = condition?.capacity.cpu ?? 1;
+        const crowding = 1 - agent.free().cpu / Math.max(1, capacity);
+        const remote = step.preferredRack !== undefined && !condition?.labels.includes(step.preferredRack);
+        const factors = (remote ? REMOTE_FACTOR : 1) * (this.health.suspect(agent.id) ? SUSPECT_FACTOR : 1);
+        const runMs = step.estimateMs * slowness * factors;
+        return runMs * (1 + CROWDING_SHARE * crowding + JITTER_SHARE * this.random.next());
+    }
+}
