--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -18,10 +18,17 @@
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
 import { SlownessEstimate } from "./SlownessEstimate.js";
+import { StallDetector } from "./StallDetector.js";
 import { StartLatency } from "./StartLatency.js";
 import { StartOutcome } from "./StartOutcome.js";
 import { StopOutcome } from "./StopOutcome.js";
 
+/**
+ * Tasks that may wait here for room. Several entries give the same free room away at once; what waits behind more than
+ * this is better off at its entry, which sees the room of all endpoints.
+ */
+const MAX_WAITING = 1;
+
 /** How often a stop is repeated until the end of its run is known. */
 const STOP_REPEAT_MS = 60;
 
@@ -48,6 +55,7 @@
     private readonly strangers = new Map<string, number>();
     private readonly slowness = new SlownessEstimate();
     private readonly latency = new StartLatency();
+    private readonly stalls = new StallDetector();
     private occupied: Resources = NO_RESOURCES;
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
@@ -84,8 +92,9 @@
         return [...this.table.keys()];
     }
 
+    /** Observed over declared run time at present. */
     public get slownessValue(): number {
-        return this.slowness.value;
+        return Math.max(this.slowness.value, this.stalls.slownessOf([...this.table.values()], this.clock.now()));
     }
 
     /** Takes the tasks of an order of `owner`. */
@@ -94,6 +103,7 @@
             this.orderTask(owner, order, name, run);
         }
         this.startWaiting();
+        this.returnExcess();
         this.tickOn();
         this.changes.fire(undefined);
     }
@@ -178,6 +188,14 @@
         }
     }
 
+    /** Gives the newest of the waiting tasks back to their entries. */
+    private returnExcess(): void {
+        const waiting = [...this.table.values()].filter(run => run.phase === RunPhase.Waiting);
+        for (const run of waiting.slice(MAX_WAITING)) {
+            this.finish(run, RunResult.NotStarted, "no room");
+        }
+    }
+
     /** Whether a start may still take effect. A time far ahead was reckoned on the clock of an earlier life. */
     private inWindow(run: OrderedRun): boolean {
         const clockMs = this.session.clockMs ?? Number.POSITIVE_INFINITY;
@@ -427,8 +445,12 @@
         });
     }
 
-    /** Gives back orders whose time has passed and repeats stops. */
+    /** Gives back orders whose time has passed, stops stalled runs, and repeats stops. */
     private tick(): void {
+        const wanted = [...this.table.values()].filter(run => run.phase === RunPhase.Running);
+        for (const run of this.stalls.stalled(wanted, this.slowness.value, this.clock.now())) {
+            this.stop(run, "endpoint stalled");
+        }
         for (const run of [...this.table.values()]) {
             if (run.phase === RunPhase.Waiting && !this.inWindow(run)) {
                 this.finish(run, RunResult.NotStarted, "no room in time");
@@ -438,10 +460,7 @@
                 this.sendStop(run);
             }
         }
-        const busy = [...this.table.values()].some(run => {
-            return run.phase === RunPhase.Waiting || run.phase === RunPhase.Stopping;
-        });
-        if (busy) {
+        if (this.table.size > 0) {
             this.tickOn();
         }
     }
--- a/src/common/settings/parseSettings.ts
+++ b/src/common/settings/parseSettings.ts
@@ -1,7 +1,8 @@
 import { type Either, Left, Right } from "purify-ts/Either";
 import * as z from "zod/mini";
+import en from "zod/v4/locales/en.js";
 
-z.config(z.locales.en());
+z.config(en());
 
 /** Checks JSON text against `schema`; the fault list has one line per fault with its path and the expected value. */
 export function parseSettings<T extends z.ZodMiniType>(
--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -100,6 +100,8 @@
         count: number,
         estimateMs: number,
         left: AbortSignal = new AbortController().signal,
+        budgetMs = this.route.timeoutMs,
+        priority = 0,
     ): Promise<JobOutcome> {
         const need = { cpu: this.options.taskCpu, memoryMb: 1, gpu: 0 };
         const step = {
@@ -116,7 +118,7 @@
         if (found === undefined) {
             throw new Error(`there is no entry ${entry}`);
         }
-        return found.dispatcher.submit(order, this.route, this.route.timeoutMs, left);
+        return found.dispatcher.submit(order, { ...this.route, priority }, budgetMs, left);
     }
 
     /** Cuts all connections between an entry and an agent without a reset, in one way or both. */
--- /dev/null
+++ b/src/emulator/LOAD_PATTERNS.ts
@@ -0,0 +1,28 @@
+import type { LoadPattern } from "./LoadPattern.js";
+
+const KINDS = [
+    { share: 34.4, tasks: 8, priority: 0, meanMs: 73, worth: 0.0291 },
+    { share: 6.25, tasks: 4, priority: 2, meanMs: 1086, worth: 0.16 },
+    { share: 100, tasks: 2, priority: 1, meanMs: 243, worth: 0.01 },
+] as const;
+
+/** Eleven endpoints of which three take twice the time of the others. */
+const ELEVEN = [0.8, 0.8, 0.8, 1, 1, 1, 0.8, 0.8, 1.8, 1.8, 1.8] as const;
+
+const BASE: LoadPattern = {
+    entries: 4,
+    lengthMs: 6000,
+    slowness: ELEVEN,
+    utilisation: () => 0.6,
+    kinds: KINDS,
+};
+
+/** Patterns of load that the dispatching has to serve. */
+export const LOAD_PATTERNS = {
+    /** An ordinary hour. */
+    steady: BASE,
+    /** Demand above what the endpoints can do for two seconds. */
+    crest: { ...BASE, utilisation: atMs => atMs > 1500 && atMs < 3500 ? 1.3 : 0.7 },
+    /** Callers come back all at once after an outage: more than can be done, for three seconds. */
+    recovery: { ...BASE, utilisation: atMs => atMs < 500 ? 2.5 : atMs < 3500 ? 1.1 : 0.6 },
+} as const satisfies Record<string, LoadPattern>;
--- a/src/emulator/playFaults.ts
+++ b/src/emulator/playFaults.ts
@@ -14,6 +14,9 @@
 /** A caller that lost its answer submits again after this time. */
 const RESUBMIT_MS = 1300;
 
+/** Time after the last job until which callers submit again; the play ends when the last of these has its answer. */
+const LAST_RESUBMIT_MS = 3000;
+
 /** Share of calls to endpoints that go wrong, and of steps at which something breaks. */
 const FAULTY_CALL_SHARE = 0.08;
 const FAULT_SHARE = 0.05;
@@ -58,6 +61,9 @@
     let born = 1;
 
     const submit = (submission: Submission, entry: number): void => {
+        if (deployment.clock.now() > LENGTH_MS + LAST_RESUBMIT_MS) {
+            return;
+        }
         const left = new AbortController();
         submission.open += 1;
         const settled = (verdict: string): void => {
@@ -108,7 +114,7 @@
         }
         await deployment.advance(SUBMIT_EVERY_MS);
     }
-    await deployment.advance(6000);
+    await deployment.advance(LAST_RESUBMIT_MS + 3000);
     const overlap = findOverlap(deployment.records);
     const ran = new Set(deployment.records.map(record => record.task.split(".")[0] ?? ""));
     return {
--- a/src/entry/leased/AgentHealth.ts
+++ b/src/entry/leased/AgentHealth.ts
@@ -1,13 +1,19 @@
 import type { Clock } from "../../common/Clock.js";
 
-/** Failures in a row after which an agent gets no tasks for a while; single tasks fail by their own fault at times. */
-const FAILURES_UNTIL_EJECTED = 2;
+/**
+ * Jobs in a row that fail first at one agent before it is ejected. Jobs that fail everywhere are counted at one agent only,
+ * and tasks fail by their own fault at times.
+ */
+const JOBS_UNTIL_EJECTED = 3;
+
+/** Most agents that may be ejected at a time, as a share; beyond it the jobs are at fault. */
+const MAX_EJECTED_SHARE = 0.34;
 
 const FIRST_EJECTION_MS = 700;
 const MAX_EJECTION_MS = 4000;
 
 interface State {
-    failures: number;
+    readonly jobs: Set<string>;
     ejectedUntil: number;
     ejectionMs: number;
 }
@@ -25,19 +31,19 @@
 
     /** Whether the agent has failed lately without a success since. */
     public suspect(agent: string): boolean {
-        return (this.states.get(agent)?.failures ?? 0) > 0;
+        return (this.states.get(agent)?.jobs.size ?? 0) > 0;
     }
 
     public succeeded(agent: string): void {
         this.states.delete(agent);
     }
 
-    /** Notes a failure; returns true when it ejects the agent. */
-    public failed(agent: string): boolean {
-        const state = this.states.get(agent) ?? { failures: 0, ejectedUntil: 0, ejectionMs: FIRST_EJECTION_MS };
+    /** Notes that a job failed at the agent, one of `agentCount`; returns true when that ejects the agent. */
+    public failed(agent: string, job: string, agentCount: number): boolean {
+        const state = this.states.get(agent) ?? { jobs: new Set(), ejectedUntil: 0, ejectionMs: FIRST_EJECTION_MS };
         this.states.set(agent, state);
-        state.failures += 1;
-        if (state.failures < FAILURES_UNTIL_EJECTED || state.ejectedUntil > this.clock.now()) {
+        state.jobs.add(job);
+        if (state.jobs.size < JOBS_UNTIL_EJECTED || !this.sound(agent) || !this.mayEject(agentCount)) {
             return false;
         }
         state.ejectedUntil = this.clock.now() + state.ejectionMs;
@@ -48,4 +54,9 @@
     public forget(agent: string): void {
         this.states.delete(agent);
     }
+
+    private mayEject(agentCount: number): boolean {
+        const ejected = [...this.states.keys()].filter(agent => !this.sound(agent)).length;
+        return ejected + 1 <= MAX_EJECTED_SHARE * agentCount;
+    }
 }
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -1,6 +1,8 @@
 import { match } from "ts-pattern";
 import type { Clock } from "../../common/Clock.js";
 import type { Disposable } from "../../common/Disposable.js";
+import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
+import { fits } from "../../common/leased/fits.js";
 import type { JobOrder } from "../../common/leased/JobOrder.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Route } from "../../common/leased/Route.js";
@@ -9,6 +11,7 @@
 import type { Step } from "../../common/leased/Step.js";
 import type { Log } from "../../common/log/Log.js";
 import type { Metrics } from "../../common/Metrics.js";
+import type { Random } from "../../common/Random.js";
 import { Verdict } from "../../common/Verdict.js";
 import type { AgentChannels } from "./AgentChannels.js";
 import type { AgentHealth } from "./AgentHealth.js";
@@ -35,8 +38,9 @@
 /** Answers that are kept for callers that submit again after the end. */
 const MAX_KEPT_ANSWERS = 2000;
 
-/** Shortest time to tell a refused caller to stay away, in milliseconds. */
+/** Times to tell refused callers to stay away, in milliseconds; each gets one between, so that they return spread out. */
 const MIN_RETRY_AFTER_MS = 1000;
+const MAX_RETRY_AFTER_MS = 3000;
 
 /** Tasks of one step of one job that go to one agent. */
 interface Batch {
@@ -62,6 +66,7 @@
         private readonly clock: Clock,
         private readonly log: Log,
         private readonly metrics: Metrics,
+        private readonly random: Random,
     ) {
         channels.onEnded(({ agent, runs }) => {
             runs.forEach(end => {
@@ -177,7 +182,7 @@
             })
             .with(RunResult.Refused, () => {
                 task.avoided.add(agent.id);
-                this.noteFailure(agent.id);
+                this.noteFailure(agent.id, job);
                 this.giveBack(job, task, end);
             })
             .with(RunResult.Stopped, RunResult.NotStarted, () => {
@@ -210,7 +215,9 @@
     private takeFailure(agent: AgentView, job: LeasedJob, task: LeasedTask, end: RunEnd): void {
         task.failures += 1;
         task.avoided.add(agent.id);
-        this.noteFailure(agent.id);
+        if (task.failures === 1) {
+            this.noteFailure(agent.id, job);
+        }
         if (task.failures >= job.route.maxAttempts) {
             this.answer(job, { kind: "failed", reason: `task ${task.name} failed ${task.failures} times` });
             return;
@@ -218,9 +225,9 @@
         this.giveBack(job, task, end);
     }
 
-    private noteFailure(agent: string): void {
-        if (this.health.failed(agent)) {
-            this.log.write(EntryLeaseEvent.AgentEjected, { agent });
+    private noteFailure(agent: string, job: LeasedJob): void {
+        if (this.health.failed(agent, job.order.id, [...this.channels.agents].length)) {
+            this.log.write(EntryLeaseEvent.AgentEjected, { agent, job: job.order.id });
         }
     }
 
@@ -325,7 +332,10 @@
 
     private endOverdue(now: number): void {
         for (const job of [...this.jobs.values()]) {
-            if (!job.offered && now >= this.patience.refuseAt(job)) {
+            if (!job.offered && this.neverFits(job)) {
+                this.refuse(job, Verdict.NotRun, "no endpoint is large enough or has the label");
+            }
+            else if (!job.offered && now >= this.patience.refuseAt(job)) {
                 this.refuse(job, Verdict.NotRun, "no room in time");
             }
             else if (now >= job.deadlineAt + OVERTIME_MS) {
@@ -334,8 +344,19 @@
         }
     }
 
+    /** Whether a task needs more than any endpoint of the service has; unknown while no endpoint is known. */
+    private neverFits(job: LeasedJob): boolean {
+        const known = [...this.channels.agents]
+            .map(agent => agent.current)
+            .filter(condition => condition?.service === job.route.service);
+        return known.length > 0 && job.order.steps.some(step => {
+            return !known.some(condition => condition !== undefined && couldRun(step, condition));
+        });
+    }
+
     private refuse(job: LeasedJob, verdict: Verdict, reason: string): void {
-        this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: MIN_RETRY_AFTER_MS });
+        const retryAfterMs = MIN_RETRY_AFTER_MS + this.random.next() * (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS);
+        this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: Math.round(retryAfterMs) });
     }
 
     private place(job: LeasedJob, now: number): void {
@@ -393,3 +414,8 @@
         });
     }
 }
+
+function couldRun(step: Step, condition: EndpointCondition): boolean {
+    const labelled = step.requiredLabel === undefined || condition.labels.includes(step.requiredLabel);
+    return labelled && fits(step.need, condition.capacity);
+}
--- a/src/entry/leased/FastestEndpoint.ts
+++ b/src/entry/leased/FastestEndpoint.ts
@@ -1,8 +1,11 @@
 import { fits } from "../../common/leased/fits.js";
+import type { Step } from "../../common/leased/Step.js";
 import type { Random } from "../../common/Random.js";
 import type { AgentHealth } from "./AgentHealth.js";
 import type { AgentView } from "./AgentView.js";
+import type { LeasedJob } from "./LeasedJob.js";
 import type { LeasedPlacement } from "./LeasedPlacement.js";
+import type { LeasedTask } from "./LeasedTask.js";
 import type { PlacementQuestion } from "./PlacementQuestion.js";
 
 /** Run times on racks without the task's data, as a multiple. */
@@ -14,6 +17,12 @@
 /** How much of its room an endpoint may have in use before that counts against it, and the share that it then adds. */
 const CROWDING_SHARE = 0.1;
 
+/** Share of its room that an endpoint keeps from jobs whose target is missed already. */
+const SPARE_SHARE = 0.2;
+
+/** How far beyond the target an expected end may lie, as a multiple of the target; declared times are often far off. */
+const TARGET_TOLERANCE = 1.05;
+
 /** Random part of a cost, so that entries that see the same reports do not all choose the same endpoint. */
 const JITTER_SHARE = 0.05;
 
@@ -37,7 +46,7 @@
         return best;
     }
 
-    private eligible({ job, step, task }: PlacementQuestion, agent: AgentView): boolean {
+    private eligible({ job, step, task, now }: PlacementQuestion, agent: AgentView): boolean {
         const condition = agent.current;
         if (condition === undefined || !agent.accepting || condition.service !== job.route.service) {
             return false;
@@ -46,10 +55,26 @@
         if (!labelled || task.avoided.has(agent.id) || !this.health.sound(agent.id)) {
             return false;
         }
-        return fits(step.need, agent.free()) && this.belowSpread({ job, step, task, now: 0 }, agent);
+        if (!fits(step.need, agent.free()) || !this.belowSpread(job, step, task, agent)) {
+            return false;
+        }
+        return this.servesTarget({ job, step, task, now }, agent);
+    }
+
+    /**
+     * A job that can still meet its target waits for an endpoint that is fast enough. One that cannot leaves some room
+     * for those that can, which other entries may have.
+     */
+    private servesTarget({ job, step, now }: PlacementQuestion, agent: AgentView): boolean {
+        if (job.targetAt - job.chainMs < now) {
+            const spare = agent.free().cpu - step.need.cpu;
+            return job.offered || spare >= SPARE_SHARE * (agent.current?.capacity.cpu ?? 0);
+        }
+        const runMs = step.estimateMs * (agent.current?.slowness ?? 1);
+        return now + runMs <= job.arrivedAt + TARGET_TOLERANCE * (job.targetAt - job.arrivedAt);
     }
 
-    private belowSpread({ job, step, task }: PlacementQuestion, agent: AgentView): boolean {
+    private belowSpread(job: LeasedJob, step: Step, task: LeasedTask, agent: AgentView): boolean {
         if (step.maxPerEndpoint === 0) {
             return true;
         }
--- a/src/entry/leased/LeasedEntry.ts
+++ b/src/entry/leased/LeasedEntry.ts
@@ -38,6 +38,7 @@
                 clock,
                 log,
                 metrics,
+                random,
             ),
         );
     }
