Judge each run at a stalled endpoint by itself until one ends in its usual time

Ruled out: stopping every run beyond three times its declared time, because 3 of 100 tasks run seven times as long by themselves and meet their target all the same.

The new test fails before and passes after.

--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -55,7 +55,7 @@
     private readonly strangers = new Map<string, number>();
     private readonly slowness = new SlownessEstimate();
     private readonly latency = new StartLatency();
-    private readonly stalls = new StallDetector();
+    private readonly stalls: StallDetector;
     private occupied: Resources = NO_RESOURCES;
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
@@ -71,6 +71,7 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
+        this.stalls = new StallDetector(clock);
         session.onList(({ list, sentAt }) => {
             this.takeList(list, sentAt);
         });
@@ -94,7 +95,7 @@
 
     /** Observed over declared run time at present. */
     public get slownessValue(): number {
-        return Math.max(this.slowness.value, this.stalls.slownessOf([...this.table.values()], this.clock.now()));
+        return Math.max(this.slowness.value, this.stalls.slownessOf([...this.table.values()]));
     }
 
     /** Takes the tasks of an order of `owner`. */
@@ -417,6 +418,7 @@
 
     private endAll(reason: string): void {
         this.slowness.reset();
+        this.stalls.reset();
         this.strangers.clear();
         for (const run of [...this.table.values()]) {
             const began = run.phase !== RunPhase.Waiting;
@@ -429,6 +431,7 @@
         this.occupied = addResources(this.occupied, run.need, -1);
         const ranMs = Math.round(this.clock.now() - (run.startedAt ?? this.clock.now()));
         if (result === RunResult.Done) {
+            this.stalls.ended(run, this.slowness.value);
             this.slowness.observe(ranMs, run.estimateMs);
         }
         const end = { task: run.task, run: run.run, result, ranMs, reason: run.abortReason ?? reason };
@@ -448,7 +451,7 @@
     /** Gives back orders whose time has passed, stops stalled runs, and repeats stops. */
     private tick(): void {
         const wanted = [...this.table.values()].filter(run => run.phase === RunPhase.Running);
-        for (const run of this.stalls.stalled(wanted, this.slowness.value, this.clock.now())) {
+        for (const run of this.stalls.stalled(wanted, this.slowness.value)) {
             this.stop(run, "endpoint stalled");
         }
         for (const run of [...this.table.values()]) {
--- a/src/entry/leased/Dispatcher.test.ts
+++ b/src/entry/leased/Dispatcher.test.ts
@@ -98,6 +98,30 @@
         });
     });
 
+    describe("an endpoint that begins to stand still", () => {
+        it("guards against the last runs at a stalled endpoint that wait until their callers leave", async () => {
+            let stands = false;
+            const work = (task: string, endpoint: number) => {
+                const long = task.startsWith(id(200)) ? 600 : 100;
+                return { ms: endpoint === 0 && stands ? 100_000 : long, how: "done" };
+            };
+            const deployment = await deploy({ agents: 2, work });
+            for (let job = 1; job <= 10; job += 1) {
+                void deployment.submit(0, id(job), 2, 100);
+                await deployment.advance(50);
+            }
+            stands = true;
+            const outcomes = [deployment.submit(0, id(200), 2, 600, undefined, 6000)];
+            for (let job = 11; job <= 40; job += 1) {
+                outcomes.push(deployment.submit(job % 2, id(job), 2, 100, undefined, 3000));
+                await deployment.advance(50);
+            }
+            await deployment.advance(4000);
+            const kinds = (await Promise.all(outcomes)).map(outcome => outcome.kind);
+            assert.ok(kinds.every(kind => kind === "completed"), kinds.join());
+        });
+    });
+
     describe("a lost connection", () => {
         for (const way of ["to_agent", "to_entry", "both"] as const) {
             it(`guards against runs that outlive a connection gone silent, ${way}`, async () => {
