--- a/scripts/playFaults.mjs
+++ b/scripts/playFaults.mjs
@@ -1,4 +1,4 @@
-// Plays random faults on the virtual clock: node --import tsx scripts/playFaults.mjs FIRST_SEED COUNT. Prints what fails.
+// Plays random faults on the virtual clock: npm run emulate:faults -- FIRST_SEED COUNT. Prints what fails.
 import { playFaults } from "../src/emulator/playFaults.ts";
 
 const [first = 1, count = 50] = process.argv.slice(2).map(Number);
--- a/scripts/playLoad.mjs
+++ b/scripts/playLoad.mjs
@@ -1,4 +1,4 @@
-// Plays the load patterns on the virtual clock: node --import tsx scripts/playLoad.mjs FIRST_SEED COUNT [PATTERN...].
+// Plays the load patterns on the virtual clock: npm run emulate:load -- FIRST_SEED COUNT [PATTERN...].
 import { LOAD_PATTERNS } from "../src/emulator/LOAD_PATTERNS.ts";
 import { playLoad } from "../src/emulator/playLoad.ts";
 
