--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -1,14 +1,11 @@
 import { match } from "ts-pattern";
 import type { Clock } from "../../common/Clock.js";
 import type { Disposable } from "../../common/Disposable.js";
-import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
-import { fits } from "../../common/leased/fits.js";
 import type { JobOrder } from "../../common/leased/JobOrder.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Route } from "../../common/leased/Route.js";
 import type { RunEnd } from "../../common/leased/RunEnd.js";
 import { RunResult } from "../../common/leased/RunResult.js";
-import type { Step } from "../../common/leased/Step.js";
 import type { Log } from "../../common/log/Log.js";
 import type { Metrics } from "../../common/Metrics.js";
 import type { Random } from "../../common/Random.js";
@@ -17,13 +14,16 @@
 import type { AgentHealth } from "./AgentHealth.js";
 import type { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
+import { isHopeless } from "./isHopeless.js";
 import type { JobOrdering } from "./JobOrdering.js";
 import type { JobOutcome } from "./JobOutcome.js";
+import { JobTable } from "./JobTable.js";
 import type { LeasedJob } from "./LeasedJob.js";
 import type { LeasedPlacement } from "./LeasedPlacement.js";
 import type { LeasedTask } from "./LeasedTask.js";
 import { newJob } from "./newJob.js";
 import type { Patience } from "./Patience.js";
+import { TaskPlacer } from "./TaskPlacer.js";
 import { TaskState } from "./TaskState.js";
 
 /** How often waiting jobs are looked at while nothing else happens. */
@@ -35,32 +35,21 @@
 /** Jobs at the front of the queue for which room is sought in one pass. */
 const MAX_SCANNED_JOBS = 64;
 
-/** Answers that are kept for callers that submit again after the end. */
-const MAX_KEPT_ANSWERS = 2000;
-
 /** Times to tell refused callers to stay away, in milliseconds; each gets one between, so that they return spread out. */
 const MIN_RETRY_AFTER_MS = 1000;
 const MAX_RETRY_AFTER_MS = 3000;
 
-/** Tasks of one step of one job that go to one agent. */
-interface Batch {
-    readonly agent: AgentView;
-    readonly step: Step;
-    readonly tasks: LeasedTask[];
-}
-
 /** Task that owns the jobs of an entry: their queue, placement, retries and answers. */
 export class Dispatcher implements Disposable {
-    private readonly jobs = new Map<string, LeasedJob>();
-    private readonly byTask = new Map<string, LeasedJob>();
-    private readonly answers = new Map<string, JobOutcome>();
+    private readonly jobs = new JobTable();
+    private readonly placer: TaskPlacer;
     private cancelPass: (() => void) | undefined;
     private cancelTick: (() => void) | undefined;
 
     constructor(
         private readonly channels: AgentChannels,
         private readonly health: AgentHealth,
-        private readonly placement: LeasedPlacement,
+        placement: LeasedPlacement,
         private readonly ordering: JobOrdering,
         private readonly patience: Patience,
         private readonly clock: Clock,
@@ -68,6 +57,7 @@
         private readonly metrics: Metrics,
         private readonly random: Random,
     ) {
+        this.placer = new TaskPlacer(channels, placement, log, metrics);
         channels.onEnded(({ agent, runs }) => {
             runs.forEach(end => {
                 this.takeEnd(agent, end);
@@ -87,7 +77,7 @@
 
     /** Jobs of a route for which no task was ordered yet. */
     public pending(route: string): number {
-        return [...this.jobs.values()].filter(job => job.route.name === route && !job.offered).length;
+        return this.jobs.all.filter(job => job.route.name === route && !job.offered).length;
     }
 
     /**
@@ -95,7 +85,7 @@
      * waits; `left` aborts when the caller has gone.
      */
     public submit(order: JobOrder, route: Route, budgetMs: number, left: AbortSignal): Promise<JobOutcome> {
-        const kept = this.answers.get(order.id);
+        const kept = this.jobs.answerOf(order.id);
         if (kept !== undefined) {
             return Promise.resolve(kept);
         }
@@ -117,7 +107,7 @@
         if (job !== undefined) {
             return job.offered ? "active" : "queued";
         }
-        const kept = this.answers.get(id);
+        const kept = this.jobs.answerOf(id);
         return kept === undefined || kept.kind === "refused" ? undefined : kept.kind;
     }
 
@@ -138,8 +128,7 @@
 
     private take(order: JobOrder, route: Route, budgetMs: number): LeasedJob {
         const job = newJob(order, route, this.clock.now(), budgetMs);
-        this.jobs.set(order.id, job);
-        job.tasks.forEach(task => this.byTask.set(task.name, job));
+        this.jobs.add(job);
         this.metrics.increment("jobs.taken");
         this.log.write(EntryLeaseEvent.JobTaken, {
             job: order.id,
@@ -155,7 +144,7 @@
 
     private callerLeft(job: LeasedJob): void {
         job.callers -= 1;
-        if (job.callers > 0 || this.jobs.get(job.order.id) !== job) {
+        if (job.callers > 0 || !this.jobs.holds(job)) {
             return;
         }
         this.log.write(EntryLeaseEvent.CallerLeft, { job: job.order.id, offered: job.offered });
@@ -164,11 +153,11 @@
 
     private takeEnd(agent: AgentView, end: RunEnd): void {
         agent.tasks.delete(end.task);
-        const job = this.byTask.get(end.task);
-        const task = job?.tasks.find(candidate => candidate.name === end.task);
-        if (job === undefined || task === undefined || task.state !== TaskState.Placed || task.agent !== agent.id) {
+        const found = this.jobs.findTask(end.task);
+        if (found === undefined || found.task.state !== TaskState.Placed || found.task.agent !== agent.id) {
             return;
         }
+        const { job, task } = found;
         task.agent = undefined;
         task.run = Math.max(task.run, end.run + 1);
         match(end.result)
@@ -241,9 +230,9 @@
     private takeLoss(agent: AgentView): void {
         this.health.forget(agent.id);
         for (const name of agent.tasks) {
-            const job = this.byTask.get(name);
-            const task = job?.tasks.find(candidate => candidate.name === name);
-            if (job !== undefined && task?.state === TaskState.Placed && task.agent === agent.id) {
+            const found = this.jobs.findTask(name);
+            if (found?.task.state === TaskState.Placed && found.task.agent === agent.id) {
+                const { job, task } = found;
                 task.state = TaskState.Unknown;
                 task.agent = undefined;
                 this.clock.schedule(LEASE_TIMES.LOST_RUN_MS, () => {
@@ -254,7 +243,7 @@
     }
 
     private takeLapse(job: LeasedJob, task: LeasedTask): void {
-        if (this.jobs.get(job.order.id) === job && task.state === TaskState.Unknown) {
+        if (this.jobs.holds(job) && task.state === TaskState.Unknown) {
             task.run += 1;
             const { name, run } = task;
             this.giveBack(job, task, { task: name, run, result: RunResult.Stopped, ranMs: 0, reason: "agent lost" });
@@ -263,12 +252,8 @@
 
     private answer(job: LeasedJob, outcome: JobOutcome): void {
         const { id } = job.order;
-        this.jobs.delete(id);
-        job.tasks.forEach(task => this.byTask.delete(task.name));
+        this.jobs.end(job, outcome);
         this.abortRest(job, outcome.kind);
-        if (outcome.kind !== "refused") {
-            this.keep(id, outcome);
-        }
         const elapsedMs = Math.round(this.clock.now() - job.arrivedAt);
         this.metrics.increment(`jobs.${outcome.kind}`);
         this.metrics.timing("job.elapsed_ms", elapsedMs);
@@ -291,14 +276,6 @@
         }
     }
 
-    private keep(id: string, outcome: JobOutcome): void {
-        this.answers.set(id, outcome);
-        const oldest = this.answers.keys().next().value;
-        if (this.answers.size > MAX_KEPT_ANSWERS && oldest !== undefined) {
-            this.answers.delete(oldest);
-        }
-    }
-
     private passSoon(): void {
         this.cancelPass ??= this.clock.schedule(0, () => {
             this.cancelPass = undefined;
@@ -317,13 +294,13 @@
     private pass(): void {
         const now = this.clock.now();
         this.endOverdue(now);
-        const waiting = [...this.jobs.values()].filter(job => job.tasks.some(task => task.state === TaskState.Ready));
+        const waiting = this.jobs.all.filter(job => job.tasks.some(task => task.state === TaskState.Ready));
         const ordered = waiting
             .map(job => ({ job, key: this.ordering.key(job, now) }))
             .sort((a, b) => a.key - b.key)
             .slice(0, MAX_SCANNED_JOBS);
         for (const { job } of ordered) {
-            this.place(job, now);
+            this.placer.place(job, now);
         }
         if (this.jobs.size > 0) {
             this.tickOn();
@@ -331,8 +308,9 @@
     }
 
     private endOverdue(now: number): void {
-        for (const job of [...this.jobs.values()]) {
-            if (!job.offered && this.neverFits(job)) {
+        const conditions = [...this.channels.agents].map(agent => agent.current);
+        for (const job of this.jobs.all) {
+            if (!job.offered && isHopeless(job, conditions)) {
                 this.refuse(job, Verdict.NotRun, "no endpoint is large enough or has the label");
             }
             else if (!job.offered && now >= this.patience.refuseAt(job)) {
@@ -344,78 +322,8 @@
         }
     }
 
-    /** Whether a task needs more than any endpoint of the service has; unknown while no endpoint is known. */
-    private neverFits(job: LeasedJob): boolean {
-        const known = [...this.channels.agents]
-            .map(agent => agent.current)
-            .filter(condition => condition?.service === job.route.service);
-        return known.length > 0 && job.order.steps.some(step => {
-            return !known.some(condition => condition !== undefined && couldRun(step, condition));
-        });
-    }
-
     private refuse(job: LeasedJob, verdict: Verdict, reason: string): void {
         const retryAfterMs = MIN_RETRY_AFTER_MS + this.random.next() * (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS);
         this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: Math.round(retryAfterMs) });
     }
-
-    private place(job: LeasedJob, now: number): void {
-        const batches = new Map<string, Batch>();
-        for (const task of job.tasks) {
-            const step = job.order.steps[task.step];
-            if (task.state !== TaskState.Ready || step === undefined) {
-                continue;
-            }
-            const agent = this.placement.choose({ job, step, task, now }, this.channels.agents);
-            if (agent === undefined) {
-                break;
-            }
-            this.assign(task, agent, step, batches, now);
-        }
-        for (const batch of batches.values()) {
-            this.send(job, batch, now);
-        }
-    }
-
-    private assign(task: LeasedTask, agent: AgentView, step: Step, batches: Map<string, Batch>, now: number): void {
-        task.state = TaskState.Placed;
-        task.agent = agent.id;
-        task.placedAt = now;
-        agent.tasks.add(task.name);
-        const key = `${agent.id} ${task.step}`;
-        const batch = batches.get(key) ?? { agent, step, tasks: [] };
-        batch.tasks.push(task);
-        batches.set(key, batch);
-        agent.reserve(step.need);
-    }
-
-    private send(job: LeasedJob, { agent, step, tasks }: Batch, now: number): void {
-        job.offered = true;
-        const clockMs = agent.clockMs(now) ?? 0;
-        agent.channel.send({
-            kind: "run",
-            order: agent.commit(),
-            job: job.order.id,
-            spec: job.order.spec,
-            tasks: tasks.map(({ name, run }) => ({ name, run })),
-            need: step.need,
-            estimateMs: step.estimateMs,
-            startBeforeMs: clockMs + LEASE_TIMES.START_WINDOW_MS,
-        });
-        this.metrics.increment("tasks.placed", tasks.length);
-        this.log.write(EntryLeaseEvent.TasksPlaced, {
-            job: job.order.id,
-            tasks: tasks.map(({ name, run }) => `${name}/${run}`),
-            agent: agent.id,
-            waitedMs: Math.round(now - job.arrivedAt),
-            reportAgeMs: Math.round(agent.ageMs(now)),
-            slowness: Number((agent.current?.slowness ?? 1).toFixed(2)),
-            freeCpu: Math.round(agent.free().cpu),
-        });
-    }
-}
-
-function couldRun(step: Step, condition: EndpointCondition): boolean {
-    const labelled = step.requiredLabel === undefined || condition.labels.includes(step.requiredLabel);
-    return labelled && fits(step.need, condition.capacity);
 }
