Keep tenure and lease together below the time of a second submission, and check tenures before each renewal

Cause: the new model spec/lease.pml found it. An agent that stands still just before it stops the runs of a lost entry had renewed the lease for 1000 ms, so a run could live 1500 ms after the loss, and its caller submits again after 1300 ms.

Ruled out: a shorter tenure, which slow VMs would miss; a lease bounded by the tenures, which other entries extend.

Before: violation with LONG_LEASE. After: 2809998 states, no violation; LONG_LEASE, NO_TENURE, NO_START_WINDOW and RENEW_BEFORE_CHECK are found. Two lost looks in a row still leave the lease in force (2 x 320 ms).

--- a/scripts/checkModel.mjs
+++ b/scripts/checkModel.mjs
@@ -51,6 +51,11 @@
             ["HEAD_BEFORE_SECTIONS"],
         ],
     },
+    {
+        name: "lease",
+        variants: [[]],
+        faults: [["LONG_LEASE"], ["NO_TENURE"], ["NO_START_WINDOW"], ["RENEW_BEFORE_CHECK"]],
+    },
 ];
 
 /** Compiles one variant and searches it; returns whether the search was complete and the violation it found, if any. */
--- /dev/null
+++ b/spec/lease.pml
@@ -0,0 +1,97 @@
+/*
+ * Leases of runs at an endpoint: an entry loses its caller, who submits again at another entry after RESUBMIT; by then no
+ * run of the first entry may be left. One task, its first run at the endpoint of agent 0, its second anywhere else.
+ * Time passes in steps of 100 ms. At each step anything may happen or not: an order may take effect late, a tenure may be
+ * lost, the entry may be cut off for good (it is then lost to its caller as well), and the agent may stand still and wake.
+ */
+#define INTERVAL 2 /* renewal of the tenure: 200 ms */
+#define TENURE 6 /* 600 ms */
+#define WINDOW 4 /* start window: 400 ms */
+#define RESUBMIT 13 /* 1300 ms */
+#define HORIZON 28
+
+#ifdef LONG_LEASE
+#define LEASE 10 /* 1000 ms */
+#else
+#define LEASE 7 /* 680 ms and 2% drift, rounded up */
+#endif
+
+byte now = 1;
+byte lostAt = 0; /* 0 while the entry has its caller and can be heard */
+byte tenureUntil = 0;
+byte startBefore = 0; /* 0 before the order */
+byte leaseUntil = 0;
+bool agentUp = true;
+bool began = false;
+bool firstRun = false;
+bool secondRun = false;
+
+#define MAYBE(condition, action) if :: (condition) -> action :: true fi
+
+/* The agent forwards an order only in its tenure; the endpoint may carry it out at any time in the window. */
+inline order() {
+    MAYBE((lostAt == 0 && startBefore == 0 && agentUp && now < tenureUntil), startBefore = now + WINDOW);
+#ifdef NO_START_WINDOW
+    MAYBE((startBefore != 0 && !began), began = true; firstRun = true; leaseUntil = now + WINDOW);
+#else
+    MAYBE((startBefore != 0 && !began && now < startBefore), began = true; firstRun = true; leaseUntil = startBefore);
+#endif
+}
+
+inline renewTenure() {
+    MAYBE((lostAt == 0 && now % INTERVAL == 0), tenureUntil = now + TENURE);
+}
+
+/* A look: tenures are checked before the lease of everything is renewed. */
+inline look() {
+    if
+#ifndef NO_TENURE
+    :: agentUp && now >= tenureUntil -> firstRun = false; began = true
+#endif
+    :: agentUp && now < tenureUntil -> leaseUntil = now + LEASE
+#if defined(RENEW_BEFORE_CHECK) || defined(NO_TENURE)
+    :: agentUp && now >= tenureUntil -> leaseUntil = now + LEASE
+#endif
+    :: true
+    fi
+}
+
+/* The agent checks tenures in each step in which it is up; it may stand still or wake before the look and after it. */
+inline agentStep() {
+    MAYBE(true, agentUp = !agentUp);
+    if
+    :: agentUp -> look()
+    :: else
+    fi;
+    MAYBE(true, agentUp = !agentUp);
+#ifndef NO_TENURE
+    if
+    :: agentUp && now >= tenureUntil && firstRun -> firstRun = false
+    :: else
+    fi;
+#endif
+}
+
+inline endpointStep() {
+    if
+    :: firstRun && now >= leaseUntil -> firstRun = false
+    :: else
+    fi
+}
+
+active proctype steps() {
+    do
+    :: now < HORIZON ->
+        atomic {
+            MAYBE((lostAt == 0), lostAt = now);
+            renewTenure();
+            order();
+            agentStep();
+            endpointStep();
+            MAYBE((lostAt != 0 && now >= lostAt + RESUBMIT), secondRun = true);
+            assert(!(firstRun && secondRun));
+            now++
+        }
+    :: else -> break
+    od
+}
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -22,8 +22,8 @@
 /** Refused connections in a row after which the endpoint's process is taken as ended. */
 const REFUSALS_UNTIL_GONE = 2;
 
-/** Leases end this much after the last renewal that may have arrived: longest lease, 2% clock drift, and a margin. */
-const LAPSE_MS = LEASE_TIMES.MAX_LEASE_MS * 1.02 + 30;
+/** Leases end this much after the last renewal that may have arrived: lease, 2% clock drift, and a margin. */
+const LAPSE_MS = LEASE_TIMES.LEASE_MS * 1.02 + 30;
 
 /** How far a fence is raised when the endpoint has seen a higher one, as after a step back of the time of day. */
 const FENCE_STEP = 1_000_000;
@@ -38,6 +38,7 @@
 export class EndpointSession implements Disposable {
     private readonly lists = new Emitter<Observation>();
     private readonly losses = new Emitter<string>();
+    private readonly renewals = new Emitter<undefined>();
     private readonly time: EndpointClock;
     private current: EndpointReport | undefined;
     private acknowledged = 0;
@@ -50,6 +51,8 @@
 
     /** Fires with each run list. */
     public readonly onList = this.lists.event;
+    /** Fires before each renewal of the lease, for stops that must not come after it. */
+    public readonly onRenewal = this.renewals.event;
     /** Fires with the reason once nothing runs at the endpoint any more: its life or all leases are over. */
     public readonly onGone = this.losses.event;
 
@@ -125,6 +128,7 @@
     public dispose(): void {
         this.disposed = true;
         this.lists.dispose();
+        this.renewals.dispose();
         this.losses.dispose();
     }
 
@@ -167,10 +171,11 @@
         if (report === undefined) {
             return false;
         }
+        this.renewals.fire(undefined);
         const sentAt = this.clock.now();
         const fence = this.fenceNumber;
         const clockMs = this.time.now();
-        const untilMs = clockMs === undefined ? undefined : clockMs + LEASE_TIMES.MAX_LEASE_MS;
+        const untilMs = clockMs === undefined ? undefined : clockMs + LEASE_TIMES.LEASE_MS;
         this.renewedAt = untilMs === undefined ? this.renewedAt : sentAt;
         const answer = await this.control.look({
             endpoint: report.life.id,
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../common/Clock.js";
 import type { Disposable } from "../../common/Disposable.js";
+import { DisposableStore } from "../../common/DisposableStore.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Log } from "../../common/log/Log.js";
 import type { Channel } from "../../common/wire/Channel.js";
@@ -18,7 +19,7 @@
     private orders = 0;
     private heardAt: number;
     private cancelCheck: (() => void) | undefined;
-    private readonly goneListener: Disposable;
+    private readonly listeners = new DisposableStore();
 
     constructor(
         private readonly channel: Channel,
@@ -31,10 +32,11 @@
     ) {
         this.heardAt = clock.now();
         // Tenures are times on the clock of the life that has ended.
-        this.goneListener = session.onGone(() => {
+        this.listeners.add(session.onGone(() => {
             this.untilMs = 0;
             this.tenured = false;
-        });
+        }));
+        this.listeners.add(session.onRenewal(() => this.check()));
         this.checkLater();
     }
 
@@ -82,7 +84,7 @@
     }
 
     public dispose(): void {
-        this.goneListener.dispose();
+        this.listeners.dispose();
         this.cancelCheck?.();
         this.cancelCheck = undefined;
         this.tenured = false;
--- a/src/common/leased/LEASE_TIMES.ts
+++ b/src/common/leased/LEASE_TIMES.ts
@@ -9,8 +9,11 @@
     TENURE_INTERVAL_MS: 200,
     /** How long after an order a start may take effect at the endpoint. */
     START_WINDOW_MS: 400,
-    /** Longest lease that an endpoint grants. */
-    MAX_LEASE_MS: 1000,
+    /**
+     * Lease that an agent asks for. An agent may stand still just before it stops the runs of a lost entry: tenure and
+     * lease together, with 2% drift of the endpoint's clock, stay below the 1300 ms.
+     */
+    LEASE_MS: 680,
     /** An agent that was silent for so long is lost to the entry. */
     AGENT_SILENCE_MS: 700,
     /** From the loss of an agent until its runs of this entry are over: tenure, stop orders and their repetition. */
