--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -27,7 +27,7 @@
     finish(run: OrderedRun, result: RunResult, reason: string): void;
     /** Starts nothing until the next list, because the endpoint has less room than the agent counted. */
     block(): void;
-    /** Calls `repeatStop` for runs whose stop is due. */
+    /** Looks regularly for runs whose stop is due, until none is left. */
     watch(): void;
 }
 
