--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -15,6 +15,12 @@
 /** Delay that collects the changes of one moment into one report. */
 const REPORT_DELAY_MS = 4;
 
+/**
+ * Least time between two reports to one entry, for each attached entry: an agent sends at most 100 reports a second in all,
+ * however many entries there are. Ends, and whether orders are taken, are reported at once.
+ */
+const REPORT_SPACING_MS = 10;
+
 /** How often an unchanged condition is reported, as a sign of life. */
 const REPORT_INTERVAL_MS = 150;
 
@@ -25,6 +31,11 @@
     readonly channel: Channel;
     readonly link: EntryLink;
     readonly ends: RunEnd[];
+    reportedAt: number;
+    /** Last report. */
+    reported: EndpointCondition | undefined;
+    /** Whether the condition changed since the last report. */
+    stale: boolean;
 }
 
 /** Controller of the attached entries: routes their messages to their links and reports the endpoint's condition. */
@@ -57,18 +68,18 @@
         this.heartbeat();
     }
 
-    /** Says at once that the endpoint's condition changed. */
+    /** Notes that the endpoint's condition changed; each entry is told when its next report is due. */
     public reportSoon(): void {
-        this.cancelReport ??= this.clock.schedule(REPORT_DELAY_MS, () => {
-            this.cancelReport = undefined;
-            this.report();
-        });
+        for (const entry of this.attached.values()) {
+            entry.stale = true;
+        }
+        this.reportLater();
     }
 
     /** Takes no orders from now on. */
     public stop(): void {
         this.stopping = true;
-        this.report();
+        this.reportAll();
     }
 
     /** Attaches an entry for as long as its channel is open. */
@@ -76,7 +87,8 @@
         this.count += 1;
         const owner = `${channel.peer.id}#${this.count}`;
         const link = new EntryLink(channel, owner, this.session, this.runs, this.clock, this.log);
-        this.attached.set(owner, { channel, link, ends: [] });
+        const entry: Attached = { channel, link, ends: [], reportedAt: 0, reported: undefined, stale: true };
+        this.attached.set(owner, entry);
         this.log.write(LeaseEvent.EntryAttached, { owner, incarnation: channel.peer.incarnation });
         channel.onMessage(message => {
             link.heard();
@@ -90,7 +102,7 @@
         if (this.routes.document !== undefined) {
             channel.send({ kind: "routes", document: this.routes.document });
         }
-        this.report();
+        this.report(entry, this.condition());
     }
 
     public dispose(): void {
@@ -132,28 +144,66 @@
         });
     }
 
+    /** Tells entries the ends of their runs, with the room that these have freed. */
     private sendEnds(): void {
-        for (const { channel, ends } of this.attached.values()) {
-            if (ends.length > 0) {
-                channel.send({ kind: "ended", runs: ends.splice(0) });
+        const condition = this.condition();
+        for (const entry of this.attached.values()) {
+            if (entry.ends.length > 0) {
+                entry.channel.send({ kind: "ended", runs: entry.ends.splice(0) });
+                this.report(entry, condition);
             }
         }
     }
 
     private heartbeat(): void {
-        this.report();
+        const now = this.clock.now();
+        const condition = this.condition();
+        for (const entry of this.attached.values()) {
+            if (now - entry.reportedAt >= REPORT_INTERVAL_MS / 2) {
+                this.report(entry, condition);
+            }
+        }
         this.cancelHeartbeat = this.clock.schedule(REPORT_INTERVAL_MS, () => {
             this.heartbeat();
         });
     }
 
-    private report(): void {
+    private reportLater(): void {
+        this.cancelReport ??= this.clock.schedule(REPORT_DELAY_MS, () => {
+            this.cancelReport = undefined;
+            this.reportDue();
+        });
+    }
+
+    /** Reports to the entries whose last report is old enough; the others follow. */
+    private reportDue(): void {
+        const condition = this.condition();
+        const dueBefore = this.clock.now() - REPORT_SPACING_MS * this.attached.size;
+        for (const entry of this.attached.values()) {
+            if (entry.stale && (entry.reportedAt <= dueBefore || isUrgent(entry, condition))) {
+                this.report(entry, condition);
+            }
+        }
+        if ([...this.attached.values()].some(entry => entry.stale)) {
+            this.reportLater();
+        }
+    }
+
+    private reportAll(): void {
         const condition = this.condition();
-        for (const { channel, link } of this.attached.values()) {
-            channel.send({ kind: "load", condition, orders: link.orderCount, tenured: link.isTenured });
+        for (const entry of this.attached.values()) {
+            this.report(entry, condition);
         }
     }
 
+    private report(entry: Attached, condition: EndpointCondition): void {
+        const { channel, link } = entry;
+        channel.send({ kind: "load", condition, orders: link.orderCount, tenured: link.isTenured });
+        entry.reportedAt = this.clock.now();
+        entry.stale = false;
+        entry.reported = condition;
+    }
+
     private condition(): EndpointCondition {
         const report = this.session.report;
         const clockMs = this.session.clockMs;
@@ -176,3 +226,8 @@
         }
     }
 }
+
+/** Whether the entry would order in vain, or leave the endpoint idle, until it hears of the condition. */
+function isUrgent(entry: Attached, condition: EndpointCondition): boolean {
+    return entry.reported?.accepting !== condition.accepting || entry.reported.endpoint !== condition.endpoint;
+}
--- a/src/entry/leased/AgentView.ts
+++ b/src/entry/leased/AgentView.ts
@@ -1,5 +1,6 @@
 import { addResources } from "../../common/leased/addResources.js";
 import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
+import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
 import type { Resources } from "../../common/leased/Resources.js";
 import type { Channel } from "../../common/wire/Channel.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
@@ -19,6 +20,7 @@
     private lastOrder = 0;
     /** Orders that the last report does not count yet. */
     private openOrders: OpenOrder[] = [];
+    private room: Resources = NO_RESOURCES;
 
     constructor(
         /** Name of the agent's VM. */
@@ -47,6 +49,8 @@
         this.tenured = message.tenured;
         this.receivedAt = now;
         this.openOrders = this.openOrders.filter(order => order.number > message.orders);
+        const reported = addResources(message.condition.capacity, message.condition.used, -1);
+        this.room = this.openOrders.reduce((sum, order) => addResources(sum, order.need, -1), reported);
     }
 
     /** Estimate of the endpoint's clock, behind it by the one-way delay; undefined while nothing is known. */
@@ -57,17 +61,13 @@
 
     /** Room that neither the agent's report nor a later order of this entry takes. */
     public free(): Resources {
-        const condition = this.condition;
-        if (condition === undefined) {
-            return { cpu: 0, memoryMb: 0, gpu: 0 };
-        }
-        const reported = addResources(condition.capacity, condition.used, -1);
-        return this.openOrders.reduce((sum, order) => addResources(sum, order.need, -1), reported);
+        return this.room;
     }
 
     /** Takes room for a task of the order that the next `commit` numbers. */
     public reserve(need: Resources): void {
         this.openOrders.push({ number: this.lastOrder + 1, need });
+        this.room = addResources(this.room, need, -1);
     }
 
     /** Returns the number of the order that is sent now. */
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -32,6 +32,9 @@
 /** Time after its deadline at which a job that still runs is given up, for answers that are about to come. */
 const OVERTIME_MS = 100;
 
+/** Time from a report of free room to the next pass over the waiting jobs, so that one pass answers several reports. */
+const PASS_SPACING_MS = 3;
+
 /** Jobs at the front of the queue for which room is sought in one pass. */
 const MAX_SCANNED_JOBS = 64;
 
@@ -45,6 +48,8 @@
     private readonly placer: TaskPlacer;
     private cancelPass: (() => void) | undefined;
     private cancelTick: (() => void) | undefined;
+    /** Jobs with tasks that found no room in the last pass. */
+    private waiting = 0;
 
     constructor(
         private readonly channels: AgentChannels,
@@ -67,7 +72,7 @@
             this.takeLoss(agent);
         });
         channels.onLoad(() => {
-            this.passSoon();
+            this.passWhenReady();
         });
     }
 
@@ -276,8 +281,15 @@
         }
     }
 
-    private passSoon(): void {
-        this.cancelPass ??= this.clock.schedule(0, () => {
+    /** Answers a report of room. Jobs that found none before wait a little, for the reports of other agents. */
+    private passWhenReady(): void {
+        if (this.waiting > 0) {
+            this.passSoon(PASS_SPACING_MS);
+        }
+    }
+
+    private passSoon(delayMs = 0): void {
+        this.cancelPass ??= this.clock.schedule(delayMs, () => {
             this.cancelPass = undefined;
             this.pass();
         });
@@ -294,14 +306,14 @@
     private pass(): void {
         const now = this.clock.now();
         this.endOverdue(now);
-        const waiting = this.jobs.all.filter(job => job.tasks.some(task => task.state === TaskState.Ready));
-        const ordered = waiting
+        const ready = this.jobs.all.filter(isReady);
+        const ordered = ready
             .map(job => ({ job, key: this.ordering.key(job, now) }))
             .sort((a, b) => a.key - b.key)
-            .slice(0, MAX_SCANNED_JOBS);
-        for (const { job } of ordered) {
-            this.placer.place(job, now);
-        }
+            .slice(0, MAX_SCANNED_JOBS)
+            .map(({ job }) => job);
+        this.placer.place(ordered, now);
+        this.waiting = ready.length === 0 ? 0 : ready.filter(isReady).length;
         if (this.jobs.size > 0) {
             this.tickOn();
         }
@@ -327,3 +339,7 @@
         this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: Math.round(retryAfterMs) });
     }
 }
+
+function isReady(job: LeasedJob): boolean {
+    return job.tasks.some(task => task.state === TaskState.Ready);
+}
--- a/src/entry/leased/FastestEndpoint.ts
+++ b/src/entry/leased/FastestEndpoint.ts
@@ -47,6 +47,10 @@
     }
 
     private eligible({ job, step, task, now }: PlacementQuestion, agent: AgentView): boolean {
+        // Most agents are ruled out here at a crest, when this runs most often.
+        if (!fits(step.need, agent.free())) {
+            return false;
+        }
         const condition = agent.current;
         if (condition === undefined || !agent.accepting || condition.service !== job.route.service) {
             return false;
@@ -55,7 +59,7 @@
         if (!labelled || task.avoided.has(agent.id) || !this.health.sound(agent.id)) {
             return false;
         }
-        if (!fits(step.need, agent.free()) || !this.belowSpread(job, step, task, agent)) {
+        if (!this.belowSpread(job, step, task, agent)) {
             return false;
         }
         return this.servesTarget({ job, step, task, now }, agent);
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -26,15 +26,22 @@
         private readonly metrics: Metrics,
     ) {}
 
-    /** Gives tasks of the job that are ready to agents, as far as the placement finds any. */
-    public place(job: LeasedJob, now: number): void {
+    /** Gives tasks that are ready to agents, job by job, as far as the placement finds any. */
+    public place(jobs: readonly LeasedJob[], now: number): void {
+        const accepting = [...this.channels.agents].filter(agent => agent.accepting);
+        for (const job of jobs) {
+            this.placeJob(job, accepting, now);
+        }
+    }
+
+    private placeJob(job: LeasedJob, accepting: readonly AgentView[], now: number): void {
         const batches = new Map<string, Batch>();
         for (const task of job.tasks) {
             const step = job.order.steps[task.step];
             if (task.state !== TaskState.Ready || step === undefined) {
                 continue;
             }
-            const agent = this.placement.choose({ job, step, task, now }, this.channels.agents);
+            const agent = this.placement.choose({ job, step, task, now }, accepting);
             if (agent === undefined) {
                 break;
             }
