Renew tenures where tasks are, and wake agents only when something is due

Cause: processor time of the grown deployments goes to wakeups. An agent had one timer for each entry every 50 ms, looked for due reports every 4 ms, and at its runs every 20 ms.

Change: an order renews the tenure; other renewals go to agents with tasks of the entry, and as signs of life every 600 ms. Done tasks wait for the others of their order before the entry hears of them, for at most a heartbeat. One timer checks all tenures; reports and ticks are scheduled for when they are due.

Ruled out: putting the tasks of a job at one agent by a discount. A stall check of 100 ms misses the stalled endpoint test; it stays at 50 ms.

--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -9,16 +9,12 @@
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { Runs } from "./Runs.js";
 
-/** How often the tenure of an entry is checked. */
-const CHECK_INTERVAL_MS = 50;
-
 /** Attached entry: takes its orders while its tenure is in force, and stops its runs when it is lost. */
 export class EntryLink implements Disposable {
     private untilMs = 0;
     private tenured = false;
     private orders = 0;
     private heardAt: number;
-    private cancelCheck: (() => void) | undefined;
     private readonly listeners = new DisposableStore();
 
     constructor(
@@ -36,8 +32,7 @@
             this.untilMs = 0;
             this.tenured = false;
         }));
-        this.listeners.add(session.onRenewal(() => this.check()));
-        this.checkLater();
+        this.listeners.add(session.onRenewal(() => this.checkTenure()));
     }
 
     public get orderCount(): number {
@@ -54,8 +49,8 @@
     }
 
     /** Renews the tenure. */
-    public takeTenure(message: MessageOf<"tenure">): void {
-        this.untilMs = message.untilMs;
+    public takeTenure(untilMs: number): void {
+        this.untilMs = untilMs;
         const clockMs = this.session.clockMs;
         this.tenured = clockMs !== undefined && clockMs < this.untilMs;
     }
@@ -63,7 +58,7 @@
     /** Takes an order, or gives its tasks back while no tenure is in force. */
     public takeOrder(message: MessageOf<"run">): void {
         this.orders = message.order;
-        this.check();
+        this.takeTenure(message.tenureUntilMs);
         const names = message.tasks.map(task => task.name);
         this.log.write(LeaseEvent.OrderTaken, {
             job: message.job,
@@ -83,30 +78,30 @@
         this.runs.abort(this.owner, message.tasks, message.reason);
     }
 
+    /** Stops the entry's runs once its tenure has lapsed, and gives its connection up once it is silent. */
+    public check(): void {
+        this.checkTenure();
+        if (this.clock.now() - this.heardAt > LEASE_TIMES.ENTRY_SILENCE_MS) {
+            this.channel.dispose();
+        }
+    }
+
     public dispose(): void {
         this.listeners.dispose();
-        this.cancelCheck?.();
-        this.cancelCheck = undefined;
         this.tenured = false;
         this.runs.abortOwner(this.owner, "connection to the entry lost");
     }
 
-    private checkLater(): void {
-        this.cancelCheck = this.clock.schedule(CHECK_INTERVAL_MS, () => {
-            this.check();
-            if (this.clock.now() - this.heardAt > LEASE_TIMES.AGENT_SILENCE_MS) {
-                this.channel.dispose();
-            }
-            else {
-                this.checkLater();
-            }
-        });
-    }
-
-    private check(): void {
+    private checkTenure(): void {
         const clockMs = this.session.clockMs;
         if (this.tenured && (clockMs === undefined || clockMs >= this.untilMs)) {
             this.tenured = false;
+            this.abortRuns(clockMs);
+        }
+    }
+
+    private abortRuns(clockMs: number | undefined): void {
+        if (this.runs.has(this.owner)) {
             this.log.write(LeaseEvent.TenureLapsed, { owner: this.owner, untilMs: this.untilMs, clockMs });
             this.runs.abortOwner(this.owner, "tenure lapsed");
         }
--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -4,6 +4,7 @@
 import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
 import type { RoutingTable } from "../../common/leased/RoutingTable.js";
 import type { RunEnd } from "../../common/leased/RunEnd.js";
+import { RunResult } from "../../common/leased/RunResult.js";
 import type { Log } from "../../common/log/Log.js";
 import type { Channel } from "../../common/wire/Channel.js";
 import type { Message } from "../../common/wire/Message.js";
@@ -21,9 +22,12 @@
  */
 const REPORT_SPACING_MS = 10;
 
-/** How often an unchanged condition is reported, as a sign of life. */
+/** How often an unchanged condition is reported, as a sign of life; twice as often to entries with runs here. */
 const REPORT_INTERVAL_MS = 150;
 
+/** How often the tenures of the entries are checked. */
+const CHECK_INTERVAL_MS = 50;
+
 /** Delay that collects ends of runs into one message. */
 const ENDS_DELAY_MS = 1;
 
@@ -44,6 +48,7 @@
     private count = 0;
     private cancelReport: (() => void) | undefined;
     private cancelHeartbeat: (() => void) | undefined;
+    private cancelCheck: (() => void) | undefined;
     private cancelEnds: (() => void) | undefined;
     private stopping = false;
 
@@ -55,8 +60,8 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
-        runs.onEnd(({ owner, end }) => {
-            this.queueEnd(owner, end);
+        runs.onEnd(({ owner, end, more }) => {
+            this.queueEnd(owner, end, more);
         });
         runs.onChange(() => {
             this.reportSoon();
@@ -66,6 +71,7 @@
             this.sendAll({ kind: "routes", document });
         });
         this.heartbeat();
+        this.checkLater();
     }
 
     /** Notes that the endpoint's condition changed; each entry is told when its next report is due. */
@@ -108,16 +114,27 @@
     public dispose(): void {
         this.cancelReport?.();
         this.cancelHeartbeat?.();
+        this.cancelCheck?.();
         this.cancelEnds?.();
         for (const { channel } of [...this.attached.values()]) {
             channel.close("agent stops");
         }
     }
 
+    /** Checks the tenures of all entries by one timer. */
+    private checkLater(): void {
+        this.cancelCheck = this.clock.schedule(CHECK_INTERVAL_MS, () => {
+            for (const { link } of [...this.attached.values()]) {
+                link.check();
+            }
+            this.checkLater();
+        });
+    }
+
     private receive(link: EntryLink, message: Message): void {
         switch (message.kind) {
             case "tenure":
-                link.takeTenure(message);
+                link.takeTenure(message.untilMs);
                 break;
             case "run":
                 link.takeOrder(message);
@@ -136,8 +153,12 @@
         }
     }
 
-    private queueEnd(owner: string, end: RunEnd): void {
+    /** A task that is done is of use to its entry only with the others of its order, so it waits for them a while. */
+    private queueEnd(owner: string, end: RunEnd, more: boolean): void {
         this.attached.get(owner)?.ends.push(end);
+        if (more && end.result === RunResult.Done) {
+            return;
+        }
         this.cancelEnds ??= this.clock.schedule(ENDS_DELAY_MS, () => {
             this.cancelEnds = undefined;
             this.sendEnds();
@@ -146,20 +167,24 @@
 
     /** Tells entries the ends of their runs, with the room that these have freed. */
     private sendEnds(): void {
+        const ended = [...this.attached.values()].filter(entry => entry.ends.length > 0);
+        if (ended.length === 0) {
+            return;
+        }
         const condition = this.condition();
-        for (const entry of this.attached.values()) {
-            if (entry.ends.length > 0) {
-                entry.channel.send({ kind: "ended", runs: entry.ends.splice(0) });
-                this.report(entry, condition);
-            }
+        for (const entry of ended) {
+            entry.channel.send({ kind: "ended", runs: entry.ends.splice(0) });
+            this.report(entry, condition);
         }
     }
 
     private heartbeat(): void {
+        this.sendEnds();
         const now = this.clock.now();
         const condition = this.condition();
         for (const entry of this.attached.values()) {
-            if (now - entry.reportedAt >= REPORT_INTERVAL_MS / 2) {
+            const intervals = this.runs.has(entry.link.owner) ? 1 : 2;
+            if (now - entry.reportedAt >= (intervals - 0.5) * REPORT_INTERVAL_MS) {
                 this.report(entry, condition);
             }
         }
@@ -168,8 +193,8 @@
         });
     }
 
-    private reportLater(): void {
-        this.cancelReport ??= this.clock.schedule(REPORT_DELAY_MS, () => {
+    private reportLater(delayMs = REPORT_DELAY_MS): void {
+        this.cancelReport ??= this.clock.schedule(delayMs, () => {
             this.cancelReport = undefined;
             this.reportDue();
         });
@@ -178,14 +203,20 @@
     /** Reports to the entries whose last report is old enough; the others follow. */
     private reportDue(): void {
         const condition = this.condition();
-        const dueBefore = this.clock.now() - REPORT_SPACING_MS * this.attached.size;
+        const now = this.clock.now();
+        const spacingMs = REPORT_SPACING_MS * this.attached.size;
+        let nextMs = Number.POSITIVE_INFINITY;
         for (const entry of this.attached.values()) {
-            if (entry.stale && (entry.reportedAt <= dueBefore || isUrgent(entry, condition))) {
+            const waitMs = entry.reportedAt + spacingMs - now;
+            if (entry.stale && (waitMs <= 0 || isUrgent(entry, condition))) {
                 this.report(entry, condition);
             }
+            else if (entry.stale) {
+                nextMs = Math.min(nextMs, waitMs);
+            }
         }
-        if ([...this.attached.values()].some(entry => entry.stale)) {
-            this.reportLater();
+        if (nextMs < Number.POSITIVE_INFINITY) {
+            this.reportLater(Math.max(REPORT_DELAY_MS, nextMs));
         }
     }
 
--- a/src/agent/leased/OrderedRun.ts
+++ b/src/agent/leased/OrderedRun.ts
@@ -6,6 +6,8 @@
     readonly task: string;
     /** Entry that ordered it, by the name of its connection. */
     readonly owner: string;
+    /** Number of the order on that connection. */
+    readonly order: number;
     readonly spec: string;
     readonly need: Resources;
     readonly estimateMs: number;
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -25,13 +25,18 @@
  */
 const MAX_WAITING = 1;
 
-/** How often waiting orders and due stops are looked at while there are runs. */
+/** How often waiting orders and due stops are looked at while there are any. */
 const TICK_MS = 20;
 
+/** How often runs are looked at for a stall while nothing waits or is being stopped. */
+const STALL_CHECK_MS = 50;
+
 /** End of a run with the entry that is to be told. */
 interface OwnedEnd {
     readonly owner: string;
     readonly end: RunEnd;
+    /** Whether other tasks of the same order go on. */
+    readonly more: boolean;
 }
 
 /** Task that owns the runs at one endpoint: takes orders, starts what fits, follows the run list, and tells the ends. */
@@ -45,6 +50,7 @@
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
     private cancelTick: (() => void) | undefined;
+    private tickAt = Number.POSITIVE_INFINITY;
 
     /** Fires with each run that is over. */
     public readonly onEnd = this.ends.event;
@@ -60,7 +66,7 @@
         const owner = {
             finish: (run: OrderedRun, result: RunResult, reason: string) => this.finish(run, result, reason),
             block: () => this.blocked = true,
-            watch: () => this.tickOn(),
+            watch: () => this.tickWithin(TICK_MS),
         };
         this.calls = new RunCalls(session, this.table, owner, clock, log);
         session.onList(({ list, sentAt }) => {
@@ -89,6 +95,11 @@
         return Math.max(this.slowness.value, this.stalls.slownessOf(this.table.all));
     }
 
+    /** Whether there are runs of `owner`. */
+    public has(owner: string): boolean {
+        return this.table.all.some(run => run.owner === owner);
+    }
+
     /** Takes the tasks of an order of `owner`. */
     public order(owner: string, order: MessageOf<"run">): void {
         for (const { name, run } of order.tasks) {
@@ -96,7 +107,7 @@
         }
         this.startWaiting();
         this.returnExcess();
-        this.tickOn();
+        this.tickWithin(TICK_MS);
         this.changes.fire(undefined);
     }
 
@@ -108,7 +119,7 @@
                 this.calls.stop(run, reason);
             }
         }
-        this.tickOn();
+        this.tickWithin(TICK_MS);
     }
 
     /** Stops every run of `owner`. */
@@ -132,6 +143,7 @@
         this.table.add({
             task,
             owner,
+            order: order.order,
             spec: order.spec,
             need: order.need,
             estimateMs: order.estimateMs,
@@ -154,7 +166,7 @@
         }
         this.calls.stop(known, "submitted again at another entry");
         const reason = "a run of another entry is being stopped";
-        this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason } });
+        this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason }, more: false });
     }
 
     /** Starts waiting orders, first come first served, as long as they fit. */
@@ -255,13 +267,21 @@
         const end = { task: run.task, run: run.run, result, ranMs, reason: run.abortReason ?? reason };
         const waitedMs = Math.round((run.startedAt ?? this.clock.now()) - run.orderedAt);
         this.log.write(LeaseEvent.RunEnded, { ...end, waitedMs, owner: run.owner, starts: run.starts });
-        this.ends.fire({ owner: run.owner, end });
+        const more = this.table.all.some(other => other.owner === run.owner && other.order === run.order);
+        this.ends.fire({ owner: run.owner, end, more });
         this.changes.fire(undefined);
     }
 
-    private tickOn(): void {
-        this.cancelTick ??= this.clock.schedule(TICK_MS, () => {
-            this.cancelTick = undefined;
+    /** Ticks in `delayMs` at the latest. */
+    private tickWithin(delayMs: number): void {
+        const at = this.clock.now() + delayMs;
+        if (this.tickAt <= at) {
+            return;
+        }
+        this.cancelTick?.();
+        this.tickAt = at;
+        this.cancelTick = this.clock.schedule(delayMs, () => {
+            this.tickAt = Number.POSITIVE_INFINITY;
             this.tick();
         });
     }
@@ -281,8 +301,9 @@
                 this.calls.sendStop(run);
             }
         }
+        const due = this.table.all.some(run => run.phase === RunPhase.Waiting || run.phase === RunPhase.Stopping);
         if (this.table.size > 0) {
-            this.tickOn();
+            this.tickWithin(due ? TICK_MS : STALL_CHECK_MS);
         }
     }
 }
--- a/src/common/leased/LEASE_TIMES.ts
+++ b/src/common/leased/LEASE_TIMES.ts
@@ -5,8 +5,12 @@
 export const LEASE_TIMES = {
     /** How long an entry's runs may live after the last tenure that reached the agent. */
     TENURE_MS: 600,
-    /** How often an entry renews its tenure at each agent. */
+    /** How often an entry renews its tenure at each agent that has tasks of it. */
     TENURE_INTERVAL_MS: 200,
+    /** How often an entry renews its tenure at an agent without tasks, as a sign of life. */
+    IDLE_TENURE_INTERVAL_MS: 600,
+    /** An entry that was silent for so long is lost to the agent; its tenure has lapsed before. */
+    ENTRY_SILENCE_MS: 2000,
     /** How long after an order a start may take effect at the endpoint. */
     START_WINDOW_MS: 400,
     /**
--- a/src/common/leased/LeaseMessage.ts
+++ b/src/common/leased/LeaseMessage.ts
@@ -16,6 +16,8 @@
     readonly estimateMs: number;
     /** Time on the endpoint's clock until which a start may take effect. */
     readonly startBeforeMs: number;
+    /** Renews the entry's tenure, like the message `tenure`. */
+    readonly tenureUntilMs: number;
 }
 
 /** Entry to agent: stops tasks that the entry ordered; each is answered by its end. */
@@ -25,7 +27,10 @@
     readonly reason: string;
 }
 
-/** Entry to agent: the entry's runs may live until this time on the endpoint's clock. Sent several times a second. */
+/**
+ * Entry to agent: the entry's runs may live until this time on the endpoint's clock. Sent several times a second while the
+ * entry has tasks there, and more rarely as a sign of life.
+ */
 interface Tenure {
     readonly kind: "tenure";
     readonly untilMs: number;
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -158,6 +158,7 @@
         need: RESOURCES,
         estimateMs: isNumber,
         startBeforeMs: isNumber,
+        tenureUntilMs: isNumber,
     },
     abort: { tasks: listOf(isString), reason: isString },
     tenure: { untilMs: isNumber },
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -115,7 +115,7 @@
             const { endpoint, service, accepting } = after;
             this.log.write(EntryLeaseEvent.EndpointChanged, { agent: view.id, endpoint, service, accepting });
         }
-        if (before === undefined || (before.clockMs === 0 && after.clockMs !== 0) || !message.tenured) {
+        if (view.tasks.size > 0 && !message.tenured) {
             this.renewTenure(view);
         }
         this.loads.fire(view);
@@ -127,7 +127,7 @@
                 this.lose(view, "silent");
                 view.channel.dispose();
             }
-            else {
+            else if (isTenureDue(view, this.clock.now())) {
                 this.renewTenure(view);
             }
         }
@@ -137,8 +137,7 @@
     }
 
     private renewTenure(view: AgentView): void {
-        const clockMs = view.clockMs(this.clock.now());
-        view.channel.send({ kind: "tenure", untilMs: clockMs === undefined ? 0 : clockMs + LEASE_TIMES.TENURE_MS });
+        view.channel.send({ kind: "tenure", untilMs: view.renewTenure(this.clock.now()) });
     }
 
     private lose(view: AgentView, reason: string): void {
@@ -156,3 +155,10 @@
         }
     }
 }
+
+/** Orders renew the tenure as well, so that an agent with a steady flow of them needs no other renewal. */
+function isTenureDue(view: AgentView, now: number): boolean {
+    const intervalMs = view.tasks.size > 0 ? LEASE_TIMES.TENURE_INTERVAL_MS : LEASE_TIMES.IDLE_TENURE_INTERVAL_MS;
+    // The timer runs once an interval: half of it tells a renewal by the timer from one by an order just before.
+    return view.tenureAgeMs(now) >= intervalMs - LEASE_TIMES.TENURE_INTERVAL_MS / 2;
+}
--- a/src/entry/leased/AgentView.ts
+++ b/src/entry/leased/AgentView.ts
@@ -1,5 +1,6 @@
 import { addResources } from "../../common/leased/addResources.js";
 import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
 import type { Resources } from "../../common/leased/Resources.js";
 import type { Channel } from "../../common/wire/Channel.js";
@@ -16,7 +17,7 @@
     public readonly tasks = new Set<string>();
     private condition: EndpointCondition | undefined;
     private receivedAt = 0;
-    private tenured = false;
+    private tenuredAt = Number.NEGATIVE_INFINITY;
     private lastOrder = 0;
     /** Orders that the last report does not count yet. */
     private openOrders: OpenOrder[] = [];
@@ -35,7 +36,7 @@
 
     /** Whether the agent can be given tasks. */
     public get accepting(): boolean {
-        return this.tenured && this.condition?.accepting === true;
+        return this.condition?.accepting === true && this.condition.clockMs > 0;
     }
 
     /** Age of the newest report in milliseconds. */
@@ -46,7 +47,6 @@
     /** Takes a report of the agent. */
     public take(message: MessageOf<"load">, now: number): void {
         this.condition = message.condition;
-        this.tenured = message.tenured;
         this.receivedAt = now;
         this.openOrders = this.openOrders.filter(order => order.number > message.orders);
         const reported = addResources(message.condition.capacity, message.condition.used, -1);
@@ -59,6 +59,18 @@
         return reported === 0 ? undefined : Math.floor(reported + now - this.receivedAt);
     }
 
+    /** Time since the last renewal of the tenure in milliseconds. */
+    public tenureAgeMs(now: number): number {
+        return now - this.tenuredAt;
+    }
+
+    /** Renews the tenure; returns its end on the endpoint's clock, 0 while that clock is unknown. */
+    public renewTenure(now: number): number {
+        const clockMs = this.clockMs(now);
+        this.tenuredAt = now;
+        return clockMs === undefined ? 0 : clockMs + LEASE_TIMES.TENURE_MS;
+    }
+
     /** Room that neither the agent's report nor a later order of this entry takes. */
     public free(): Resources {
         return this.room;
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -76,6 +76,7 @@
             need: step.need,
             estimateMs: step.estimateMs,
             startBeforeMs: clockMs + LEASE_TIMES.START_WINDOW_MS,
+            tenureUntilMs: agent.renewTenure(now),
         });
         this.metrics.increment("tasks.placed", tasks.length);
         this.log.write(EntryLeaseEvent.TasksPlaced, {
