--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -17,10 +17,10 @@
 const REPORT_DELAY_MS = 4;
 
 /**
- * Least time between two reports to one entry, for each attached entry: an agent sends at most 100 reports a second in all,
+ * Least time between two reports to one entry, for each attached entry: an agent sends at most 50 reports a second in all,
  * however many entries there are. Ends, and whether orders are taken, are reported at once.
  */
-const REPORT_SPACING_MS = 10;
+const REPORT_SPACING_MS = 20;
 
 /** How often an unchanged condition is reported, as a sign of life; twice as often to entries with runs here. */
 const REPORT_INTERVAL_MS = 150;
