--- /dev/null
+++ b/src/agent/leased/EntryLinks.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+
+const TASK_CPU = 6000;
+const ENTRIES = 8;
+const LENGTH_S = 3;
+
+/** Most reports of an agent a second that are not sent with an end, and those of a heartbeat to each entry. */
+const MAX_REPORTS_PER_S = 50;
+const HEARTBEATS_PER_S = 1000 / 150;
+
+describe("EntryLinks", () => {
+    describe("many entries that share an agent", () => {
+        it("guards against reports that grow with the entries times the changes", async () => {
+            const deployment = new EmulatedDeployment({
+                entries: ENTRIES,
+                agents: 1,
+                seed: 1,
+                cpu: 64_000,
+                taskCpu: TASK_CPU,
+                work: () => ({ ms: 60, how: "done" }),
+            });
+            const counts = { load: 0, ended: 0, run: 0 };
+            deployment.links.forEach(({ atEntry, atAgent }) => {
+                atEntry.onMessage(message => {
+                    counts.load += message.kind === "load" ? 1 : 0;
+                    counts.ended += message.kind === "ended" ? 1 : 0;
+                });
+                atAgent.onMessage(message => {
+                    counts.run += message.kind === "run" ? 1 : 0;
+                });
+            });
+            for (let job = 0; job < LENGTH_S * 100; job += 1) {
+                void deployment.submit(job % ENTRIES, job.toString(16).padStart(16, "0"), 1, 60);
+                await deployment.advance(10);
+            }
+            const others = counts.load - counts.ended;
+            const bound = LENGTH_S * (MAX_REPORTS_PER_S + ENTRIES * HEARTBEATS_PER_S);
+            assert.ok(counts.run > LENGTH_S * 90, `${counts.run} orders`);
+            assert.ok(others <= bound, `${others} reports without an end, at most ${bound}`);
+        });
+
+        it("guards against an entry that learns too late that the endpoint drains", async () => {
+            const deployment = new EmulatedDeployment({
+                entries: ENTRIES,
+                agents: 1,
+                seed: 1,
+                cpu: 64_000,
+                taskCpu: TASK_CPU,
+                work: () => ({ ms: 60, how: "done" }),
+            });
+            await deployment.advance(500);
+            deployment.announce(0, 1, 2, true);
+            await deployment.advance(20);
+            for (let entry = 0; entry < ENTRIES; entry += 1) {
+                void deployment.submit(entry, entry.toString(16).padStart(16, "0"), 1, 60);
+            }
+            await deployment.advance(200);
+            assert.equal(deployment.records.length, 0);
+        });
+    });
+
+    describe("the tasks of one order", () => {
+        it("guards against a task that is done and lost to its entry while another of its order goes on", async () => {
+            const deployment = new EmulatedDeployment({
+                entries: 1,
+                agents: 1,
+                seed: 1,
+                cpu: 64_000,
+                taskCpu: TASK_CPU,
+                work: task => ({ ms: task.endsWith(".0") ? 50 : 1000, how: "done" }),
+            });
+            const ended: string[] = [];
+            deployment.links[0]?.atEntry.onMessage(message => {
+                ended.push(...message.kind === "ended" ? message.runs.map(run => run.task) : []);
+            });
+            await deployment.advance(500);
+            void deployment.submit(0, "00000000000000aa", 2, 1000, undefined, 5000);
+            await deployment.advance(300);
+            assert.deepEqual(ended, ["00000000000000aa.0.0.0"]);
+        });
+    });
+});
--- a/src/emulator/LOAD_PATTERNS.ts
+++ b/src/emulator/LOAD_PATTERNS.ts
@@ -17,6 +17,12 @@
     kinds: KINDS,
 };
 
+/** Endpoints of a grown deployment. */
+const MESH_ENDPOINTS = 52;
+
+/** Every fourth endpoint takes more than twice the time of the others. */
+const MESH_SLOWNESS = Array.from({ length: MESH_ENDPOINTS }, (_, number) => number % 4 === 0 ? 1.8 : 0.85);
+
 /** Patterns of load that the dispatching has to serve. */
 export const LOAD_PATTERNS = {
     /** An ordinary hour. */
@@ -25,4 +31,6 @@
     crest: { ...BASE, utilisation: atMs => atMs > 1500 && atMs < 3500 ? 1.3 : 0.7 },
     /** Callers come back all at once after an outage: more than can be done, for three seconds. */
     recovery: { ...BASE, utilisation: atMs => atMs < 500 ? 2.5 : atMs < 3500 ? 1.1 : 0.6 },
+    /** Eight entries that see the room of many endpoints late, because reports are bounded, near the crest of a wave. */
+    mesh: { ...BASE, entries: 8, lengthMs: 1500, slowness: MESH_SLOWNESS, utilisation: () => 0.85 },
 } as const satisfies Record<string, LoadPattern>;
--- a/src/emulator/playLoad.test.ts
+++ b/src/emulator/playLoad.test.ts
@@ -30,4 +30,9 @@
         const mean = results.reduce((sum, result) => sum + result.worth, 0) / SEEDS.length;
         assert.ok(mean >= HEAVY_WORTH, `worth ${mean}`);
     });
+
+    it("guards against eight entries that give away the same room because they hear of it late", async () => {
+        const result = await playLoad(LOAD_PATTERNS.mesh, 11);
+        assert.ok(result.worth >= HEAVY_WORTH, `worth ${result.worth}`);
+    });
 });
