Let a pending timer give way to an earlier time

Cause: an agent that had a spaced report pending told entries of a draining endpoint only with it, up to 20 ms times the entries later; the dispatcher's pass for a new job waited for a delayed pass in the same way. Three modules had a timer of this kind.

Change: one class, DueTimer, fires at the earliest time that was asked for; reports, ticks of runs and passes use it, and the dispatcher's tick and pass are one timer.

--- a/src/agent/leased/EntryLinks.test.ts
+++ b/src/agent/leased/EntryLinks.test.ts
@@ -6,6 +6,9 @@
 const ENTRIES = 8;
 const LENGTH_S = 3;
 
+/** Jobs whose reports are still to come, spaced, when the endpoint says that it drains. */
+const BEFORE_DRAIN = 9;
+
 /** Most reports of an agent a second that are not sent with an end, and those of a heartbeat to each entry. */
 const MAX_REPORTS_PER_S = 50;
 const HEARTBEATS_PER_S = 1000 / 150;
@@ -51,13 +54,19 @@
                 work: () => ({ ms: 60, how: "done" }),
             });
             await deployment.advance(500);
+            for (let job = 0; job < BEFORE_DRAIN; job += 1) {
+                void deployment.submit(0, job.toString(16).padStart(16, "a"), 1, 60);
+                await deployment.advance(10);
+            }
             deployment.announce(0, 1, 2, true);
             await deployment.advance(20);
+            const before = deployment.records.length;
             for (let entry = 0; entry < ENTRIES; entry += 1) {
                 void deployment.submit(entry, entry.toString(16).padStart(16, "0"), 1, 60);
             }
             await deployment.advance(200);
-            assert.equal(deployment.records.length, 0);
+            assert.equal(before, BEFORE_DRAIN);
+            assert.equal(deployment.records.length, BEFORE_DRAIN);
         });
     });
 
--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../common/Clock.js";
 import type { Disposable } from "../../common/Disposable.js";
+import { DueTimer } from "../../common/DueTimer.js";
 import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
 import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
 import type { RoutingTable } from "../../common/leased/RoutingTable.js";
@@ -46,7 +47,7 @@
 export class EntryLinks implements Disposable {
     private readonly attached = new Map<string, Attached>();
     private count = 0;
-    private cancelReport: (() => void) | undefined;
+    private readonly reports: DueTimer;
     private cancelHeartbeat: (() => void) | undefined;
     private cancelCheck: (() => void) | undefined;
     private cancelEnds: (() => void) | undefined;
@@ -60,6 +61,9 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
+        this.reports = new DueTimer(clock, () => {
+            this.reportDue();
+        });
         runs.onEnd(({ owner, end, more }) => {
             this.queueEnd(owner, end, more);
         });
@@ -79,7 +83,7 @@
         for (const entry of this.attached.values()) {
             entry.stale = true;
         }
-        this.reportLater();
+        this.reports.within(REPORT_DELAY_MS);
     }
 
     /** Takes no orders from now on. */
@@ -112,7 +116,7 @@
     }
 
     public dispose(): void {
-        this.cancelReport?.();
+        this.reports.dispose();
         this.cancelHeartbeat?.();
         this.cancelCheck?.();
         this.cancelEnds?.();
@@ -193,13 +197,6 @@
         });
     }
 
-    private reportLater(delayMs = REPORT_DELAY_MS): void {
-        this.cancelReport ??= this.clock.schedule(delayMs, () => {
-            this.cancelReport = undefined;
-            this.reportDue();
-        });
-    }
-
     /** Reports to the entries whose last report is old enough; the others follow. */
     private reportDue(): void {
         const condition = this.condition();
@@ -216,7 +213,7 @@
             }
         }
         if (nextMs < Number.POSITIVE_INFINITY) {
-            this.reportLater(Math.max(REPORT_DELAY_MS, nextMs));
+            this.reports.within(Math.max(REPORT_DELAY_MS, nextMs));
         }
     }
 
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../common/Clock.js";
 import type { Disposable } from "../../common/Disposable.js";
+import { DueTimer } from "../../common/DueTimer.js";
 import { Emitter } from "../../common/Emitter.js";
 import { addResources } from "../../common/leased/addResources.js";
 import { fits } from "../../common/leased/fits.js";
@@ -49,8 +50,7 @@
     private readonly stalls: StallDetector;
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
-    private cancelTick: (() => void) | undefined;
-    private tickAt = Number.POSITIVE_INFINITY;
+    private readonly ticks: DueTimer;
 
     /** Fires with each run that is over. */
     public readonly onEnd = this.ends.event;
@@ -63,10 +63,13 @@
         private readonly log: Log,
     ) {
         this.stalls = new StallDetector(clock);
+        this.ticks = new DueTimer(clock, () => {
+            this.tick();
+        });
         const owner = {
             finish: (run: OrderedRun, result: RunResult, reason: string) => this.finish(run, result, reason),
             block: () => this.blocked = true,
-            watch: () => this.tickWithin(TICK_MS),
+            watch: () => this.ticks.within(TICK_MS),
         };
         this.calls = new RunCalls(session, this.table, owner, clock, log);
         session.onList(({ list, sentAt }) => {
@@ -107,7 +110,7 @@
         }
         this.startWaiting();
         this.returnExcess();
-        this.tickWithin(TICK_MS);
+        this.ticks.within(TICK_MS);
         this.changes.fire(undefined);
     }
 
@@ -119,7 +122,7 @@
                 this.calls.stop(run, reason);
             }
         }
-        this.tickWithin(TICK_MS);
+        this.ticks.within(TICK_MS);
     }
 
     /** Stops every run of `owner`. */
@@ -129,7 +132,7 @@
     }
 
     public dispose(): void {
-        this.cancelTick?.();
+        this.ticks.dispose();
         this.ends.dispose();
         this.changes.dispose();
     }
@@ -272,20 +275,6 @@
         this.changes.fire(undefined);
     }
 
-    /** Ticks in `delayMs` at the latest. */
-    private tickWithin(delayMs: number): void {
-        const at = this.clock.now() + delayMs;
-        if (this.tickAt <= at) {
-            return;
-        }
-        this.cancelTick?.();
-        this.tickAt = at;
-        this.cancelTick = this.clock.schedule(delayMs, () => {
-            this.tickAt = Number.POSITIVE_INFINITY;
-            this.tick();
-        });
-    }
-
     /** Gives back orders whose time has passed, stops stalled runs, and repeats stops. */
     private tick(): void {
         const wanted = this.table.all.filter(run => run.phase === RunPhase.Running);
@@ -303,7 +292,7 @@
         }
         const due = this.table.all.some(run => run.phase === RunPhase.Waiting || run.phase === RunPhase.Stopping);
         if (this.table.size > 0) {
-            this.tickWithin(due ? TICK_MS : STALL_CHECK_MS);
+            this.ticks.within(due ? TICK_MS : STALL_CHECK_MS);
         }
     }
 }
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -1,6 +1,7 @@
 import { match } from "ts-pattern";
 import type { Clock } from "../../common/Clock.js";
 import type { Disposable } from "../../common/Disposable.js";
+import { DueTimer } from "../../common/DueTimer.js";
 import type { JobOrder } from "../../common/leased/JobOrder.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Route } from "../../common/leased/Route.js";
@@ -46,8 +47,7 @@
 export class Dispatcher implements Disposable {
     private readonly jobs = new JobTable();
     private readonly placer: TaskPlacer;
-    private cancelPass: (() => void) | undefined;
-    private cancelTick: (() => void) | undefined;
+    private readonly passes: DueTimer;
     /** Jobs with tasks that found no room in the last pass. */
     private waiting = 0;
 
@@ -62,6 +62,9 @@
         private readonly metrics: Metrics,
         private readonly random: Random,
     ) {
+        this.passes = new DueTimer(clock, () => {
+            this.pass();
+        });
         this.placer = new TaskPlacer(channels, placement, log, metrics);
         channels.onEnded(({ agent, runs }) => {
             runs.forEach(end => {
@@ -127,8 +130,7 @@
     }
 
     public dispose(): void {
-        this.cancelPass?.();
-        this.cancelTick?.();
+        this.passes.dispose();
     }
 
     private take(order: JobOrder, route: Route, budgetMs: number): LeasedJob {
@@ -143,7 +145,7 @@
             budgetMs,
             queued: this.jobs.size,
         });
-        this.passSoon();
+        this.passes.within(0);
         return job;
     }
 
@@ -201,7 +203,7 @@
             const after = job.order.steps[task.step]?.after ?? [];
             if (task.state === TaskState.Blocked && !after.some(step => open.has(step))) {
                 task.state = TaskState.Ready;
-                this.passSoon();
+                this.passes.within(0);
             }
         }
     }
@@ -229,7 +231,7 @@
         task.state = TaskState.Ready;
         const { result, reason, run } = end;
         this.log.write(EntryLeaseEvent.TaskReturned, { job: job.order.id, task: task.name, run, result, reason });
-        this.passSoon();
+        this.passes.within(0);
     }
 
     private takeLoss(agent: AgentView): void {
@@ -265,7 +267,7 @@
         const inTarget = this.clock.now() <= job.targetAt;
         this.log.write(EntryLeaseEvent.JobAnswered, { job: id, ...outcome, elapsedMs, inTarget, offered: job.offered });
         job.settle(outcome);
-        this.passSoon();
+        this.passes.within(0);
     }
 
     private abortRest(job: LeasedJob, reason: string): void {
@@ -284,24 +286,10 @@
     /** Answers a report of room. Jobs that found none before wait a little, for the reports of other agents. */
     private passWhenReady(): void {
         if (this.waiting > 0) {
-            this.passSoon(PASS_SPACING_MS);
+            this.passes.within(PASS_SPACING_MS);
         }
     }
 
-    private passSoon(delayMs = 0): void {
-        this.cancelPass ??= this.clock.schedule(delayMs, () => {
-            this.cancelPass = undefined;
-            this.pass();
-        });
-    }
-
-    private tickOn(): void {
-        this.cancelTick ??= this.clock.schedule(TICK_MS, () => {
-            this.cancelTick = undefined;
-            this.pass();
-        });
-    }
-
     /** Gives free room to the waiting jobs in their order, and ends those whose time is over. */
     private pass(): void {
         const now = this.clock.now();
@@ -315,7 +303,7 @@
         this.placer.place(ordered, now);
         this.waiting = ready.length === 0 ? 0 : ready.filter(isReady).length;
         if (this.jobs.size > 0) {
-            this.tickOn();
+            this.passes.within(TICK_MS);
         }
     }
 
