Take the life that answers, also when it was born earlier than the known one

An endpoint whose time of day has stepped back starts with a lower start time. Its lists were passed over as those of an older life, without a pause between looks, so the agent looked without end and never used it.

Change: the life that answers a look is the one that is there; two lives of one address never answer side by side.

Test: an endpoint restarted with a lower start time and no heartbeat, which hung the play before and completes its job now.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -152,19 +152,14 @@
 
     /**
      * Takes note of the life that has answered instead of the known one. It may answer before its first heartbeat, and
-     * what is started in it meanwhile must not count as ended when that heartbeat comes.
+     * what is started in it meanwhile must not count as ended when that heartbeat comes. Its start time may be the lower one,
+     * after a step back of the endpoint's time of day: only one of two lives answers.
      */
     private meet(bornMs: number, known: EndpointReport): void {
-        if (bornMs > known.life.bornMs) {
-            const report = {
-                ...known,
-                life: { ...known.life, bornMs },
-                draining: false,
-                sequence: BEFORE_FIRST_HEARTBEAT,
-            };
-            this.begin(report);
-            this.current = report;
-        }
+        const life = { ...known.life, bornMs };
+        const report = { ...known, life, draining: false, sequence: BEFORE_FIRST_HEARTBEAT };
+        this.begin(report);
+        this.current = report;
     }
 
     private end(reason: string, replaced = false): void {
--- a/src/agent/leased/Runs.test.ts
+++ b/src/agent/leased/Runs.test.ts
@@ -59,6 +59,30 @@
         });
     });
 
+    describe("an endpoint that starts again under its id", () => {
+        for (const bornMs of [0, 2]) {
+            it(`guards against a life that is not used before its heartbeat, or never, born at ${bornMs}`, async () => {
+                const deployment = new EmulatedDeployment({
+                    entries: 1,
+                    agents: 1,
+                    seed: 1,
+                    cpu: 64_000,
+                    taskCpu: TASK_CPU,
+                    work: () => ({ ms: 100, how: "done" }),
+                });
+                await deployment.advance(500);
+                deployment.endpoints[0]?.restart(bornMs);
+                await deployment.advance(300);
+                const outcome = deployment.submit(0, ID, 1, 100);
+                await deployment.advance(500);
+                deployment.announce(0, bornMs, 1);
+                await deployment.advance(300);
+                assert.equal((await outcome).kind, "completed");
+                assert.equal(deployment.records.length, 1);
+            });
+        }
+    });
+
     describe("a start that takes effect late", () => {
         it("guards against a run of seconds ago beside the run that replaced it", async () => {
             let starts = 0;
