Bound the looks at an endpoint that breaks them off, and collect ends

Cause: a look that was broken off (a reset, or a connection closed by the other side) counts as unanswered, and only refused looks paused before the next one.

Ruled out: the pool of connections (20 calls make 20 connections whether the other side closes, resets or refuses), and repeated stops, which end with the lease.

A look that showed ends is followed after 10 ms, so that one look shows the ends of several runs: 250 looks for 250 short runs before, at most 125 after.

--- /dev/null
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import { VirtualClock } from "../../common/VirtualClock.js";
+import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import type { EndpointControl } from "./EndpointControl.js";
+import { EndpointSession } from "./EndpointSession.js";
+import { LookOutcome } from "./LookOutcome.js";
+import { StartOutcome } from "./StartOutcome.js";
+import { StopOutcome } from "./StopOutcome.js";
+
+/** Round trip to an endpoint that breaks each call off. */
+const ROUND_TRIP_MS = 2;
+
+/** Each look that is broken off costs a connection; the platform's price allows some a second. */
+const MAX_LOOKS_PER_S = 12;
+
+const REPORT = {
+    life: { id: "endpoint", bornMs: 1 },
+    service: "s",
+    capacity: { cpu: 1, memoryMb: 1, gpu: 0 },
+    labels: [],
+    draining: false,
+    sequence: 1,
+};
+
+/** Endpoint that ends every look with `outcome` after one round trip. */
+function brokenEndpoint(clock: VirtualClock, outcome: LookOutcome, looked: () => void): EndpointControl {
+    return {
+        start: () => Promise.resolve({ outcome: StartOutcome.Unanswered, clockMs: undefined }),
+        stop: () => Promise.resolve({ outcome: StopOutcome.Unanswered, clockMs: undefined }),
+        look: () => {
+            looked();
+            return new Promise(resolve => {
+                clock.schedule(ROUND_TRIP_MS, () => resolve({ outcome, clockMs: undefined, list: undefined }));
+            });
+        },
+    };
+}
+
+describe("EndpointSession", () => {
+    describe("an endpoint that is flapping", () => {
+        for (const outcome of [LookOutcome.Unanswered, LookOutcome.Unreachable, LookOutcome.OtherLife]) {
+            it(`guards against a loop of looks that each open a connection, answered as ${outcome}`, async () => {
+                const clock = new VirtualClock();
+                let looks = 0;
+                const control = brokenEndpoint(clock, outcome, () => looks += 1);
+                const session = new EndpointSession(control, clock, new SilentLog(), 1);
+                session.announce(REPORT);
+                for (let passed = 0; passed < 2000; passed += 1) {
+                    clock.advance(1);
+                    await new Promise(resolve => setImmediate(resolve));
+                }
+                assert.ok(looks <= 2 * MAX_LOOKS_PER_S, `${looks} looks in 2 s`);
+                session.dispose();
+            });
+        }
+    });
+
+    describe("an endpoint with many short runs", () => {
+        it("guards against a look for each end", async () => {
+            let looks = 0;
+            const deployment = new EmulatedDeployment({
+                entries: 1,
+                agents: 1,
+                seed: 1,
+                cpu: 64_000,
+                taskCpu: 1000,
+                work: () => ({ ms: 100, how: "done" }),
+                fate: call => {
+                    looks += call === "look" ? 1 : 0;
+                    return "answered";
+                },
+            });
+            await deployment.advance(500);
+            const before = looks;
+            for (let job = 0; job < 250; job += 1) {
+                void deployment.submit(0, job.toString(16).padStart(16, "0"), 1, 100);
+                await deployment.advance(4);
+            }
+            await deployment.advance(300);
+            assert.equal(deployment.records.filter(record => record.how === "done").length, 250);
+            assert.ok(looks - before <= 125, `${looks - before} looks for 250 runs`);
+        });
+    });
+});
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -16,8 +16,15 @@
 /** Time beyond its wait after which a look is taken as lost. Two lost looks in a row leave the lease in force. */
 const LOOK_SLACK_MS = 120;
 
-/** Pause after a look that was refused or failed at once. */
-const LOOK_PAUSE_MS = 40;
+/** Time from a look that showed ends to the next one, which collects the ends of other runs meanwhile. */
+const COLLECT_MS = 10;
+
+/**
+ * Least time between the starts of two looks that were refused or broken off: the first, and the longest after it has
+ * doubled each time. Such a look costs a new connection. Four of them in a row leave the lease in force.
+ */
+const FIRST_RETRY_MS = 40;
+const MAX_RETRY_MS = 160;
 
 /** Refused connections in a row after which the endpoint's process is taken as ended. */
 const REFUSALS_UNTIL_GONE = 2;
@@ -56,6 +63,8 @@
     private answeredAt = Number.NEGATIVE_INFINITY;
     private renewedAt = Number.NEGATIVE_INFINITY;
     private refusals = 0;
+    /** Looks in a row that were not answered with a list. */
+    private misses = 0;
     private gone = true;
     private disposed = false;
 
@@ -148,6 +157,7 @@
         this.acknowledged = 0;
         this.time.reset();
         this.refusals = 0;
+        this.misses = 0;
     }
 
     /**
@@ -179,19 +189,19 @@
 
     private async lookLoop(): Promise<void> {
         while (!this.disposed && this.current !== undefined) {
-            const waits = await this.look(LOOK_WAIT_MS);
-            if (!waits) {
-                await this.pause(LOOK_PAUSE_MS);
+            const pauseMs = await this.look(LOOK_WAIT_MS);
+            if (pauseMs > 0) {
+                await this.pause(pauseMs);
             }
         }
         this.looking = false;
     }
 
-    /** Looks once; returns false when the next look should pause first. */
-    private async look(waitMs: number): Promise<boolean> {
+    /** Looks once; returns the pause before the next look in milliseconds. */
+    private async look(waitMs: number): Promise<number> {
         const report = this.current;
         if (report === undefined) {
-            return false;
+            return FIRST_RETRY_MS;
         }
         this.renewals.fire(undefined);
         const sentAt = this.clock.now();
@@ -208,25 +218,31 @@
             timeoutMs: waitMs + LOOK_SLACK_MS,
         });
         if (this.current === undefined || !isSameLife(this.current, report)) {
-            return true;
+            return 0;
         }
         const bornMs = answer.list?.bornMs ?? report.life.bornMs;
         if (bornMs !== report.life.bornMs) {
             this.meet(bornMs, report);
-            return true;
+            return COLLECT_MS;
         }
         this.time.observe(answer.clockMs);
         if (answer.outcome === LookOutcome.Listed && answer.list !== undefined) {
             this.take({ list: answer.list, sentAt });
-            return true;
+            return answer.list.finished.length > 0 ? COLLECT_MS : 0;
         }
         this.miss(answer.outcome, fence);
-        return answer.outcome === LookOutcome.Unanswered || answer.outcome === LookOutcome.Fenced;
+        return Math.max(0, this.retryMs() - (this.clock.now() - sentAt));
+    }
+
+    /** Time from the start of a missed look to the next one. */
+    private retryMs(): number {
+        return Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.misses - 1));
     }
 
     private take(observation: Observation): void {
         this.answeredAt = this.clock.now();
         this.refusals = 0;
+        this.misses = 0;
         if (this.gone) {
             this.gone = false;
             this.log.write(LeaseEvent.EndpointAnswers, { endpoint: this.current?.life.id });
@@ -237,6 +253,7 @@
     }
 
     private miss(outcome: LookOutcome, fence: number): void {
+        this.misses += 1;
         if (outcome === LookOutcome.Fenced) {
             this.raiseFence(fence);
             return;
