Attach each agent to a bounded number of entries, and report what matters

Cause: every agent was attached to every entry.

Now an agent keeps connections to the first entries in its rendezvous order, 8 at first. Entries tell how many agents like it they have (service, kind and size), and the agent adapts so that this number stays near 20. Few agents are attached to every entry, as before. An entry that cannot be reached is replaced by the next in the order until it is back. A connection that is no longer needed takes no orders for 300 ms and is closed once its runs have ended.

Reports to the other entries are sent when their placement would change, not on each change; heartbeats go each 200 ms to entries with runs and 400 ms to others. An entry that stood still reads what has arrived before it takes agents as silent. An agent that was not heard for 700 ms is given no new tasks.

--- a/src/agent/leased/EndpointReport.ts
+++ b/src/agent/leased/EndpointReport.ts
@@ -6,6 +6,7 @@
     readonly life: EndpointLife;
     readonly service: string;
     readonly capacity: Resources;
+    /** The kind of its machine comes first. */
     readonly labels: readonly string[];
     readonly draining: boolean;
     /** Rises with each heartbeat of one life. */
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -15,6 +15,7 @@
     private tenured = false;
     private orders = 0;
     private heardAt: number;
+    private agents: number | undefined;
     private readonly listeners = new DisposableStore();
 
     constructor(
@@ -43,11 +44,21 @@
         return this.tenured;
     }
 
+    /** Agents of this kind that the entry has; undefined before it has told. */
+    public get agentCount(): number | undefined {
+        return this.agents;
+    }
+
     /** Notes that the entry was heard. */
     public heard(): void {
         this.heardAt = this.clock.now();
     }
 
+    /** Notes how many agents of this kind the entry has. */
+    public takeAgentCount(agents: number): void {
+        this.agents = agents;
+    }
+
     /** Renews the tenure. */
     public takeTenure(untilMs: number): void {
         this.untilMs = untilMs;
--- a/src/agent/leased/EntryLinks.test.ts
+++ b/src/agent/leased/EntryLinks.test.ts
@@ -6,6 +6,9 @@
 const ENTRIES = 8;
 const LENGTH_S = 3;
 
+/** Time in which agents attach to their entries. */
+const ATTACH_MS = 50;
+
 /** Jobs whose reports are still to come, spaced, when the endpoint says that it drains. */
 const BEFORE_DRAIN = 9;
 
@@ -24,6 +27,7 @@
                 taskCpu: TASK_CPU,
                 work: () => ({ ms: 60, how: "done" }),
             });
+            await deployment.advance(ATTACH_MS);
             const counts = { load: 0, ended: 0, run: 0 };
             deployment.links.forEach(({ atEntry, atAgent }) => {
                 atEntry.onMessage(message => {
@@ -81,6 +85,7 @@
                 work: task => ({ ms: task.endsWith(".0") ? 50 : 1000, how: "done" }),
             });
             const ended: string[] = [];
+            await deployment.advance(ATTACH_MS);
             deployment.links[0]?.atEntry.onMessage(message => {
                 ended.push(...message.kind === "ended" ? message.runs.map(run => run.task) : []);
             });
--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -11,6 +11,7 @@
 import type { Message } from "../../common/wire/Message.js";
 import type { EndpointSession } from "./EndpointSession.js";
 import { EntryLink } from "./EntryLink.js";
+import { isWorthReporting } from "./isWorthReporting.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { Runs } from "./Runs.js";
 
@@ -24,7 +25,7 @@
 const REPORT_SPACING_MS = 20;
 
 /** How often an unchanged condition is reported, as a sign of life; twice as often to entries with runs here. */
-const REPORT_INTERVAL_MS = 150;
+const REPORT_INTERVAL_MS = 200;
 
 /** How often the tenures of the entries are checked. */
 const CHECK_INTERVAL_MS = 50;
@@ -32,6 +33,9 @@
 /** Delay that collects ends of runs into one message. */
 const ENDS_DELAY_MS = 1;
 
+/** Time for orders that are on their way when an entry is told to send no more. */
+const RELEASE_MS = 300;
+
 interface Attached {
     readonly channel: Channel;
     readonly link: EntryLink;
@@ -41,6 +45,8 @@
     reported: EndpointCondition | undefined;
     /** Whether the condition changed since the last report. */
     stale: boolean;
+    /** When the connection may be closed, once the entry has no runs here; undefined while it is wanted. */
+    closableAt: number | undefined;
 }
 
 /** Controller of the attached entries: routes their messages to their links and reports the endpoint's condition. */
@@ -97,7 +103,15 @@
         this.count += 1;
         const owner = `${channel.peer.id}#${this.count}`;
         const link = new EntryLink(channel, owner, this.session, this.runs, this.clock, this.log);
-        const entry: Attached = { channel, link, ends: [], reportedAt: 0, reported: undefined, stale: true };
+        const entry: Attached = {
+            channel,
+            link,
+            ends: [],
+            reportedAt: 0,
+            reported: undefined,
+            stale: true,
+            closableAt: undefined,
+        };
         this.attached.set(owner, entry);
         this.log.write(LeaseEvent.EntryAttached, { owner, incarnation: channel.peer.incarnation });
         channel.onMessage(message => {
@@ -115,6 +129,21 @@
         this.report(entry, this.condition());
     }
 
+    /** Takes no more orders on a channel and closes it once its runs have ended. */
+    public release(channel: Channel): void {
+        for (const entry of this.attached.values()) {
+            if (entry.channel === channel) {
+                entry.closableAt = this.clock.now() + RELEASE_MS;
+                this.report(entry, this.condition());
+            }
+        }
+    }
+
+    /** Numbers of agents of this kind at the attached entries, of those that have told. */
+    public get agentCounts(): readonly number[] {
+        return [...this.attached.values()].map(({ link }) => link.agentCount).filter(count => count !== undefined);
+    }
+
     public dispose(): void {
         this.reports.dispose();
         this.cancelHeartbeat?.();
@@ -128,17 +157,25 @@
     /** Checks the tenures of all entries by one timer. */
     private checkLater(): void {
         this.cancelCheck = this.clock.schedule(CHECK_INTERVAL_MS, () => {
-            for (const { link } of [...this.attached.values()]) {
-                link.check();
+            for (const entry of [...this.attached.values()]) {
+                entry.link.check();
+                this.closeReleased(entry);
             }
             this.checkLater();
         });
     }
 
+    private closeReleased({ channel, link, closableAt }: Attached): void {
+        if (closableAt !== undefined && this.clock.now() >= closableAt && !this.runs.has(link.owner)) {
+            channel.close("agent has enough entries");
+        }
+    }
+
     private receive(link: EntryLink, message: Message): void {
         switch (message.kind) {
             case "tenure":
                 link.takeTenure(message.untilMs);
+                link.takeAgentCount(message.agents);
                 break;
             case "run":
                 link.takeOrder(message);
@@ -205,10 +242,16 @@
         let nextMs = Number.POSITIVE_INFINITY;
         for (const entry of this.attached.values()) {
             const waitMs = entry.reportedAt + spacingMs - now;
-            if (entry.stale && (waitMs <= 0 || isUrgent(entry, condition))) {
+            if (entry.stale && isUrgent(entry, condition)) {
+                this.report(entry, condition);
+            }
+            else if (!entry.stale || !isWorthReporting(entry.reported, condition)) {
+                entry.stale = false;
+            }
+            else if (waitMs <= 0) {
                 this.report(entry, condition);
             }
-            else if (entry.stale) {
+            else {
                 nextMs = Math.min(nextMs, waitMs);
             }
         }
@@ -225,8 +268,9 @@
     }
 
     private report(entry: Attached, condition: EndpointCondition): void {
-        const { channel, link } = entry;
-        channel.send({ kind: "load", condition, orders: link.orderCount, tenured: link.isTenured });
+        const { channel, link, closableAt } = entry;
+        const told = closableAt === undefined ? condition : { ...condition, accepting: false };
+        channel.send({ kind: "load", condition: told, orders: link.orderCount, tenured: link.isTenured });
         entry.reportedAt = this.clock.now();
         entry.stale = false;
         entry.reported = condition;
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -25,5 +25,6 @@
     EntryDetached: { number: 8021, level: LogLevel.Warn, text: "connection to an entry lost" },
     EntryUnreachable: { number: 8022, level: LogLevel.Info, text: "entry cannot be reached" },
     RoutesTaken: { number: 8023, level: LogLevel.Info, text: "routing document of a higher version taken" },
+    EntriesWanted: { number: 8025, level: LogLevel.Info, text: "number of entries to be attached to changed" },
     Stopping: { number: 8024, level: LogLevel.Info, text: "agent stops, no new orders" },
 } as const satisfies Record<string, LogEvent>;
--- a/src/agent/leased/LeasedAgent.ts
+++ b/src/agent/leased/LeasedAgent.ts
@@ -9,11 +9,15 @@
 import { EntryDialer } from "./EntryDialer.js";
 import { EntryLinks } from "./EntryLinks.js";
 import { LeaseEvent } from "./LeaseEvent.js";
+import { LinkTarget } from "./LinkTarget.js";
 import { Runs } from "./Runs.js";
 
 /** How often a stopping agent looks whether its runs have ended. */
 const DRAIN_CHECK_MS = 25;
 
+/** How often the number of entries is adapted; entries need some seconds to hear of the agents that have changed theirs. */
+const ADAPT_INTERVAL_MS = 5000;
+
 /** Agent that runs tasks under leases at the endpoint beside it, on the orders of the entries that it is attached to. */
 export class LeasedAgent implements Disposable {
     private readonly disposables = new DisposableStore();
@@ -21,20 +25,30 @@
     private readonly runs: Runs;
     private readonly links: EntryLinks;
     private readonly dialer: EntryDialer;
+    private readonly target: LinkTarget;
+    private cancelAdapt: (() => void) | undefined;
 
     constructor(
+        id: string,
         control: EndpointControl,
         routes: RoutingTable,
         dial: (address: string) => Promise<Channel>,
         private readonly runtime: Runtime,
         fence: number,
+        target = new LinkTarget(),
     ) {
         const { clock, log } = runtime;
+        this.target = target;
         this.session = this.disposables.add(new EndpointSession(control, clock, log, fence));
         this.runs = this.disposables.add(new Runs(this.session, clock, log));
         const learn = (addresses: readonly string[]) => this.dialer.learn(addresses);
         this.links = this.disposables.add(new EntryLinks(this.session, this.runs, routes, learn, clock, log));
-        this.dialer = this.disposables.add(new EntryDialer(dial, channel => this.links.attach(channel), clock, log));
+        const owner = {
+            attach: (channel: Channel) => this.links.attach(channel),
+            release: (channel: Channel) => this.links.release(channel),
+        };
+        this.dialer = this.disposables.add(new EntryDialer(id, target.entries, dial, owner, clock, log));
+        this.adaptLater();
     }
 
     /** Takes a heartbeat of the endpoint. */
@@ -70,6 +84,18 @@
     }
 
     public dispose(): void {
+        this.cancelAdapt?.();
         this.disposables.dispose();
     }
+
+    private adaptLater(): void {
+        this.cancelAdapt = this.runtime.clock.schedule(ADAPT_INTERVAL_MS, () => {
+            const agents = this.links.agentCounts;
+            if (this.target.adapt(agents, this.dialer.knownCount)) {
+                this.runtime.log.write(LeaseEvent.EntriesWanted, { entries: this.target.entries, agents });
+                this.dialer.resize(this.target.entries);
+            }
+            this.adaptLater();
+        });
+    }
 }
--- /dev/null
+++ b/src/agent/leased/LinkTarget.test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { LinkTarget } from "./LinkTarget.js";
+
+/** Agents that an entry should have, and the ratio by which a settled mesh may miss it. */
+const AGENTS_PER_ENTRY = 20;
+const TOLERANCE = 1.5;
+
+const ROUNDS = 12;
+
+/** Lets `agents` agents adapt to what `entries` entries have, some of them in each round; returns agents per entry. */
+function settle(agents: number, entries: number): number {
+    const targets = Array.from({ length: agents }, () => new LinkTarget());
+    const perEntry = () => targets.reduce((sum, target) => sum + Math.min(entries, target.entries), 0) / entries;
+    for (let round = 0; round < ROUNDS; round += 1) {
+        targets.filter((_, index) => index % 3 === round % 3).forEach(target => target.adapt([perEntry()], entries));
+    }
+    return perEntry();
+}
+
+describe("LinkTarget", () => {
+    describe("many agents", () => {
+        it("guards against entries whose connections grow with the deployment", () => {
+            for (const [agents, entries] of [[160, 35], [52, 8], [1750, 383]] as const) {
+                const settled = settle(agents, entries);
+                const inBand = settled <= AGENTS_PER_ENTRY * TOLERANCE && settled >= AGENTS_PER_ENTRY / TOLERANCE;
+                assert.ok(inBand, `${settled} agents per entry with ${agents} agents and ${entries} entries`);
+            }
+        });
+    });
+
+    describe("few agents of a kind", () => {
+        it("guards against entries that reach only some of them although many entries share them", () => {
+            assert.equal(settle(11, 35), 11);
+            assert.equal(settle(11, 4), 11);
+        });
+    });
+
+    describe("an agent that knows nothing of its entries yet", () => {
+        it("guards against a change before the first entry has told its count", () => {
+            const target = new LinkTarget();
+            const before = target.entries;
+            assert.equal(target.adapt([], 35), false);
+            assert.equal(target.entries, before);
+        });
+    });
+});
--- /dev/null
+++ b/src/agent/leased/LinkTarget.ts
@@ -0,0 +1,50 @@
+/** Agents of one kind that an entry should be attached to: enough to find a fast one with room, cheap to keep. */
+const AGENTS_PER_ENTRY = 20;
+
+/** Entries that an agent is attached to at first, before they have told how many agents they have. */
+const INITIAL_ENTRIES = 8;
+
+/** Least number of entries: one that is lost or has no callers must not leave the endpoint idle. */
+const MIN_ENTRIES = 4;
+
+/** Ratio of wanted to present agents of an entry within which nothing changes. */
+const TOLERANCE = 1.5;
+
+/** Largest change in one step, as a ratio; the other agents change at the same time. */
+const MAX_STEP = 2;
+
+/**
+ * Number of entries that an agent keeps connections to, so that each entry has a bounded number of agents of a kind
+ * however large the deployment is, and all of them where they are few.
+ */
+export class LinkTarget {
+    private wanted = INITIAL_ENTRIES;
+
+    /** `agentsPerEntry` is the number of agents of one kind that each entry should have. */
+    constructor(private readonly agentsPerEntry: number = AGENTS_PER_ENTRY) {}
+
+    public get entries(): number {
+        return this.wanted;
+    }
+
+    /**
+     * Adapts to how many agents of this kind each attached entry has, of `known` entries in all. Returns whether the
+     * number of entries changed.
+     */
+    public adapt(agentCounts: readonly number[], known: number): boolean {
+        if (agentCounts.length === 0) {
+            return false;
+        }
+        const mean = agentCounts.reduce((sum, count) => sum + count, 0) / agentCounts.length;
+        const ratio = this.agentsPerEntry / Math.max(1, mean);
+        if (ratio < TOLERANCE && ratio > 1 / TOLERANCE) {
+            return false;
+        }
+        const step = Math.min(MAX_STEP, Math.max(1 / MAX_STEP, ratio));
+        const next = Math.round(this.wanted * step);
+        const before = this.wanted;
+        // More than are known would only have to be taken back when further entries come.
+        this.wanted = Math.max(MIN_ENTRIES, Math.min(next, Math.max(known, INITIAL_ENTRIES)));
+        return this.wanted !== before;
+    }
+}
--- a/src/common/leased/EndpointCondition.ts
+++ b/src/common/leased/EndpointCondition.ts
@@ -5,6 +5,7 @@
     readonly service: string;
     /** Identity of one life of the endpoint. */
     readonly endpoint: string;
+    /** The kind of its machine comes first. */
     readonly labels: readonly string[];
     readonly capacity: Resources;
     /** Occupied by runs that have begun, and by orders that wait at the agent. */
--- a/src/common/leased/LEASE_TIMES.ts
+++ b/src/common/leased/LEASE_TIMES.ts
@@ -8,7 +8,7 @@
     /** How often an entry renews its tenure at each agent that has tasks of it. */
     TENURE_INTERVAL_MS: 200,
     /** How often an entry renews its tenure at an agent without tasks, as a sign of life. */
-    IDLE_TENURE_INTERVAL_MS: 600,
+    IDLE_TENURE_INTERVAL_MS: 800,
     /** An entry that was silent for so long is lost to the agent; its tenure has lapsed before. */
     ENTRY_SILENCE_MS: 2000,
     /** How long after an order a start may take effect at the endpoint. */
@@ -18,8 +18,12 @@
      * lease together, with 2% drift of the endpoint's clock, stay below the 1300 ms.
      */
     LEASE_MS: 680,
-    /** An agent that was silent for so long is lost to the entry. */
+    /** An agent with tasks of the entry that was silent for so long is lost to the entry. */
     AGENT_SILENCE_MS: 700,
+    /** The same for an agent without tasks of the entry, which reports half as often. */
+    IDLE_AGENT_SILENCE_MS: 1400,
+    /** An agent that was silent for so long is given no new tasks, because it may be lost. */
+    FRESH_REPORT_MS: 700,
     /** From the loss of an agent until its runs of this entry are over: tenure, stop orders and their repetition. */
     LOST_RUN_MS: 1200,
 } as const;
--- a/src/common/leased/LeaseMessage.ts
+++ b/src/common/leased/LeaseMessage.ts
@@ -34,6 +34,8 @@
 interface Tenure {
     readonly kind: "tenure";
     readonly untilMs: number;
+    /** Number of agents that are attached to the entry and whose endpoints are like the receiver's, itself included. */
+    readonly agents: number;
 }
 
 /** Agent to entry: condition of its endpoint; sent after changes and several times a second. */
--- a/src/common/leased/TableWatch.test.ts
+++ b/src/common/leased/TableWatch.test.ts
@@ -28,7 +28,7 @@
         write: () => Promise.resolve(undefined),
     };
     const take = (_: string, value: Buffer) => taken.push(value.toString());
-    new TableWatch(store, "t", take, clock, new SeededRandom(1), new SilentLog()).start();
+    new TableWatch(store, "t", take, 1000, clock, new SeededRandom(1), new SilentLog()).start();
     for (let step = 0; step < 20; step += 1) {
         await new Promise(resolve => setImmediate(resolve));
         clock.advance(300);
--- a/src/common/leased/TableWatch.ts
+++ b/src/common/leased/TableWatch.ts
@@ -5,9 +5,6 @@
 import type { RowStore } from "./RowStore.js";
 import { StoreEvent } from "./StoreEvent.js";
 
-/** How long one call waits for a change. A connection that has gone silent is noticed this much and a margin later. */
-const WAIT_MS = 1000;
-
 /** Pause after a call that failed, in milliseconds; a random part keeps processes apart. */
 const RETRY_MS = 150;
 const RETRY_JITTER_MS = 150;
@@ -25,6 +22,8 @@
         private readonly store: RowStore,
         private readonly table: string,
         private readonly take: TakeRow,
+        /** How long one call waits for a change. A connection that has gone silent is noticed this much and a margin later. */
+        private readonly waitMs: number,
         private readonly clock: Clock,
         private readonly random: Random,
         private readonly log: Log,
@@ -52,7 +51,7 @@
     private async once(): Promise<boolean> {
         const answer = this.version === undefined
             ? await this.store.read(this.table)
-            : await this.store.follow(this.table, this.version, WAIT_MS);
+            : await this.store.follow(this.table, this.version, this.waitMs);
         if (this.disposed) {
             return true;
         }
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -161,7 +161,7 @@
         tenureUntilMs: isNumber,
     },
     abort: { tasks: listOf(isString), reason: isString },
-    tenure: { untilMs: isNumber },
+    tenure: { untilMs: isNumber, agents: isCount },
     load: { condition: CONDITION, orders: isCount, tenured: isBoolean },
     ended: { runs: listOf(RUN_END) },
     routes: {
--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -1,4 +1,5 @@
 import { LeasedAgent } from "../agent/leased/LeasedAgent.js";
+import type { LinkTarget } from "../agent/leased/LinkTarget.js";
 import type { JobOrder } from "../common/leased/JobOrder.js";
 import type { Route } from "../common/leased/Route.js";
 import { RoutingTable } from "../common/leased/RoutingTable.js";
@@ -38,6 +39,8 @@
     readonly work: (task: string, endpoint: number) => { readonly ms: number; readonly how: string; };
     readonly fate?: (call: "start" | "stop" | "look", task: string, endpoint: number) => CallFate;
     readonly log?: Log;
+    /** How many entries each agent keeps connections to; by default what agents do by themselves. */
+    readonly linkTarget?: () => LinkTarget;
 }
 
 interface Link {
@@ -155,7 +158,8 @@
         });
         this.endpoints.push(endpoint);
         const dial = (address: string) => this.dial(number, Number(address.slice("entry-".length)));
-        const agent = new LeasedAgent(endpoint, new RoutingTable(), dial, this.runtime, 1);
+        const target = this.options.linkTarget?.();
+        const agent = new LeasedAgent(`agent-${number}`, endpoint, new RoutingTable(), dial, this.runtime, 1, target);
         this.agents.push(agent);
         agent.learnEntries(this.entries.map((_, entry) => `entry-${entry}`));
         this.announce(number, FIRST_BORN_MS, 1);
--- a/src/emulator/LOAD_PATTERNS.ts
+++ b/src/emulator/LOAD_PATTERNS.ts
@@ -23,6 +23,11 @@
 /** Every fourth endpoint takes more than twice the time of the others. */
 const MESH_SLOWNESS = Array.from({ length: MESH_ENDPOINTS }, (_, number) => number % 4 === 0 ? 1.8 : 0.85);
 
+/** Endpoints, entries and callers of a large deployment. */
+const LARGE = { endpoints: 160, entries: 35, callers: 51 } as const;
+
+const LARGE_SLOWNESS = Array.from({ length: LARGE.endpoints }, (_, number) => number % 4 === 0 ? 1.8 : 0.85);
+
 /** Patterns of load that the dispatching has to serve. */
 export const LOAD_PATTERNS = {
     /** An ordinary hour. */
@@ -33,4 +38,13 @@
     recovery: { ...BASE, utilisation: atMs => atMs < 500 ? 2.5 : atMs < 3500 ? 1.1 : 0.6 },
     /** Eight entries that see the room of many endpoints late, because reports are bounded, near the crest of a wave. */
     mesh: { ...BASE, entries: 8, lengthMs: 1500, slowness: MESH_SLOWNESS, utilisation: () => 0.85 },
+    /** Entries with a bounded number of agents, some with several times the callers of others, near the crest of a wave. */
+    skew: {
+        ...BASE,
+        entries: LARGE.entries,
+        callers: LARGE.callers,
+        lengthMs: 1500,
+        slowness: LARGE_SLOWNESS,
+        utilisation: () => 0.85,
+    },
 } as const satisfies Record<string, LoadPattern>;
--- a/src/emulator/LoadPattern.ts
+++ b/src/emulator/LoadPattern.ts
@@ -1,6 +1,8 @@
 /** Load of one play: kinds of jobs, how many arrive, and how the endpoints differ. */
 export interface LoadPattern {
     readonly entries: number;
+    /** Number of callers, each of which stays at one entry that a hash has chosen; even load where it is absent. */
+    readonly callers?: number;
     readonly lengthMs: number;
     /** Time over declared time of each endpoint; 1 is the declared speed. */
     readonly slowness: readonly number[];
--- a/src/emulator/playLoad.ts
+++ b/src/emulator/playLoad.ts
@@ -1,3 +1,4 @@
+import type { LinkTarget } from "../agent/leased/LinkTarget.js";
 import { SeededRandom } from "../common/SeededRandom.js";
 import { EmulatedDeployment } from "./EmulatedDeployment.js";
 import type { LoadPattern } from "./LoadPattern.js";
@@ -35,8 +36,12 @@
     readonly jobs: number;
 }
 
-/** Plays a load on the virtual clock. */
-export async function playLoad(pattern: LoadPattern, seed: number): Promise<LoadResult> {
+/** Plays a load on the virtual clock; `linkTarget` decides how many entries each agent is attached to. */
+export async function playLoad(
+    pattern: LoadPattern,
+    seed: number,
+    linkTarget?: () => LinkTarget,
+): Promise<LoadResult> {
     const random = new SeededRandom(seed);
     const runMs = new Map<string, number>();
     const deployment = new EmulatedDeployment({
@@ -46,7 +51,9 @@
         cpu: ENDPOINT_CPU,
         taskCpu: TASK_CPU,
         work: (task, endpoint) => ({ ms: (runMs.get(task) ?? 1) * (pattern.slowness[endpoint] ?? 1), how: "done" }),
+        ...(linkTarget === undefined ? {} : { linkTarget }),
     });
+    const homes = homesOf(pattern, random);
     const result = { worth: 0, inTarget: 0, late: 0, refused: 0, jobs: 0, owed: 0 };
     const submit = (): void => {
         const kind = pickKind(pattern, random.next());
@@ -58,7 +65,7 @@
         const at = deployment.clock.now();
         result.jobs += 1;
         result.owed += kind.worth;
-        const entry = Math.floor(random.next() * pattern.entries);
+        const entry = homes[Math.floor(random.next() * homes.length)] ?? 0;
         const stays = new AbortController().signal;
         const budgetMs = BUDGET_FACTOR * declared;
         void deployment.submit(entry, id, kind.tasks, declared, stays, budgetMs, kind.priority).then(outcome => {
@@ -93,6 +100,13 @@
     };
 }
 
+/** Entries that submissions are spread over; an entry with several callers is in the list several times. */
+function homesOf({ entries, callers }: LoadPattern, random: SeededRandom): readonly number[] {
+    return callers === undefined
+        ? Array.from({ length: entries }, (_, entry) => entry)
+        : Array.from({ length: callers }, () => Math.floor(random.next() * entries));
+}
+
 /** Jobs a millisecond that use all endpoints up. */
 function ratePerMs({ slowness, kinds }: LoadPattern): number {
     const capacity = slowness.reduce((sum, factor) => sum + TASKS_PER_ENDPOINT / factor, 0);
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -10,12 +10,16 @@
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
+import { isAlike } from "./isAlike.js";
 
 interface AgentEnds {
     readonly agent: AgentView;
     readonly runs: readonly RunEnd[];
 }
 
+/** Time between two checks for silent agents beyond which the process stood still or was overloaded between them. */
+const MAX_CHECK_GAP_MS = 2 * LEASE_TIMES.TENURE_INTERVAL_MS;
+
 /** Controller of the attached agents: tenures, reports, losses, and the spread of routing documents and addresses. */
 export class AgentChannels implements Disposable {
     private readonly views = new Map<string, AgentView>();
@@ -23,7 +27,10 @@
     private readonly losses = new Emitter<AgentView>();
     private readonly loads = new Emitter<AgentView>();
     private cancelTenure: (() => void) | undefined;
+    private checkedAt = 0;
 
+    /** Attached agents; can be gone through any number of times. */
+    public readonly agents: Iterable<AgentView> = { [Symbol.iterator]: () => this.views.values() };
     public readonly onEnded = this.ends.event;
     /** Fires with an agent whose runs can no longer be followed. */
     public readonly onLost = this.losses.event;
@@ -43,10 +50,6 @@
         this.renewTenures();
     }
 
-    public get agents(): Iterable<AgentView> {
-        return this.views.values();
-    }
-
     public get(id: string): AgentView | undefined {
         return this.views.get(id);
     }
@@ -122,12 +125,16 @@
     }
 
     private renewTenures(): void {
+        const now = this.clock.now();
+        // After standing still itself, the entry first has to read what has arrived meanwhile.
+        const stoodStill = now - this.checkedAt > MAX_CHECK_GAP_MS;
+        this.checkedAt = now;
         for (const view of [...this.views.values()]) {
-            if (view.current !== undefined && view.ageMs(this.clock.now()) > LEASE_TIMES.AGENT_SILENCE_MS) {
+            if (!stoodStill && isSilent(view, now)) {
                 this.lose(view, "silent");
                 view.channel.dispose();
             }
-            else if (isTenureDue(view, this.clock.now())) {
+            else if (isTenureDue(view, now)) {
                 this.renewTenure(view);
             }
         }
@@ -137,7 +144,17 @@
     }
 
     private renewTenure(view: AgentView): void {
-        view.channel.send({ kind: "tenure", untilMs: view.renewTenure(this.clock.now()) });
+        const agents = this.countAlike(view);
+        view.channel.send({ kind: "tenure", untilMs: view.renewTenure(this.clock.now()), agents });
+    }
+
+    /** Number of agents whose endpoints can run what this one can, itself included. */
+    private countAlike({ current }: AgentView): number {
+        let count = 0;
+        for (const other of this.views.values()) {
+            count += isAlike(other.current, current) ? 1 : 0;
+        }
+        return count;
     }
 
     private lose(view: AgentView, reason: string): void {
@@ -156,6 +173,11 @@
     }
 }
 
+function isSilent(view: AgentView, now: number): boolean {
+    const limitMs = view.tasks.size > 0 ? LEASE_TIMES.AGENT_SILENCE_MS : LEASE_TIMES.IDLE_AGENT_SILENCE_MS;
+    return view.current !== undefined && view.ageMs(now) > limitMs;
+}
+
 /** Orders renew the tenure as well, so that an agent with a steady flow of them needs no other renewal. */
 function isTenureDue(view: AgentView, now: number): boolean {
     const intervalMs = view.tasks.size > 0 ? LEASE_TIMES.TENURE_INTERVAL_MS : LEASE_TIMES.IDLE_TENURE_INTERVAL_MS;
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -30,6 +30,9 @@
 /** How often waiting jobs are looked at while nothing else happens. */
 const TICK_MS = 10;
 
+/** How often jobs are looked at for their deadlines while none of them waits. */
+const IDLE_TICK_MS = 50;
+
 /** Time after its deadline at which a job that still runs is given up, for answers that are about to come. */
 const OVERTIME_MS = 100;
 
@@ -303,14 +306,13 @@
         this.placer.place(ordered, now);
         this.waiting = ready.length === 0 ? 0 : ready.filter(isReady).length;
         if (this.jobs.size > 0) {
-            this.passes.within(TICK_MS);
+            this.passes.within(this.waiting > 0 ? TICK_MS : IDLE_TICK_MS);
         }
     }
 
     private endOverdue(now: number): void {
-        const conditions = [...this.channels.agents].map(agent => agent.current);
         for (const job of this.jobs.all) {
-            if (!job.offered && isHopeless(job, conditions)) {
+            if (!job.offered && isHopeless(job, this.channels.agents)) {
                 this.refuse(job, Verdict.NotRun, "no endpoint is large enough or has the label");
             }
             else if (!job.offered && now >= this.patience.refuseAt(job)) {
--- a/src/entry/leased/LeasedEntry.ts
+++ b/src/entry/leased/LeasedEntry.ts
@@ -1,5 +1,6 @@
 import type { Disposable } from "../../common/Disposable.js";
 import { DisposableStore } from "../../common/DisposableStore.js";
+import { DueTimer } from "../../common/DueTimer.js";
 import type { RoutingTable } from "../../common/leased/RoutingTable.js";
 import type { Runtime } from "../../common/Runtime.js";
 import type { Channel } from "../../common/wire/Channel.js";
@@ -14,12 +15,16 @@
 /** How often a stopping entry looks whether its jobs have been answered. */
 const DRAIN_CHECK_MS = 25;
 
+/** Delay that collects addresses of entries before agents are told; in a start, all entries become known within it. */
+const SPREAD_DELAY_MS = 250;
+
 /** Entry that dispatches jobs whose tasks run under leases. */
 export class LeasedEntry implements Disposable {
     public readonly dispatcher: Dispatcher;
     private readonly disposables = new DisposableStore();
     private readonly channels: AgentChannels;
     private readonly addresses = new Set<string>();
+    private readonly spread: DueTimer;
     private stopping = false;
     private closed = false;
 
@@ -27,6 +32,7 @@
         const { clock, log, metrics, random } = runtime;
         this.addresses.add(ownAddress);
         this.channels = this.disposables.add(new AgentChannels(routes, () => [...this.addresses], clock, log));
+        this.spread = this.disposables.add(new DueTimer(clock, () => this.channels.spreadEntries()));
         const health = new AgentHealth(clock);
         this.dispatcher = this.disposables.add(
             new Dispatcher(
@@ -67,7 +73,7 @@
         const before = this.addresses.size;
         addresses.forEach(address => this.addresses.add(address));
         if (this.addresses.size > before) {
-            this.channels.spreadEntries();
+            this.spread.within(SPREAD_DELAY_MS);
         }
     }
 
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -28,7 +28,8 @@
 
     /** Gives tasks that are ready to agents, job by job, as far as the placement finds any. */
     public place(jobs: readonly LeasedJob[], now: number): void {
-        const accepting = [...this.channels.agents].filter(agent => agent.accepting);
+        const accepting = [...this.channels.agents]
+            .filter(agent => agent.accepting && agent.ageMs(now) <= LEASE_TIMES.FRESH_REPORT_MS);
         for (const job of jobs) {
             this.placeJob(job, accepting, now);
         }
--- /dev/null
+++ b/src/entry/leased/isAlike.ts
@@ -0,0 +1,11 @@
+import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
+
+/** Whether two endpoints can run the same tasks: same service, kind of machine and size. Their racks may differ. */
+export function isAlike(a: EndpointCondition | undefined, b: EndpointCondition | undefined): boolean {
+    if (a === undefined || b === undefined) {
+        return false;
+    }
+    const sameSize = a.capacity.cpu === b.capacity.cpu && a.capacity.memoryMb === b.capacity.memoryMb
+        && a.capacity.gpu === b.capacity.gpu;
+    return a.service === b.service && a.labels[0] === b.labels[0] && sameSize;
+}
--- a/src/entry/leased/isHopeless.ts
+++ b/src/entry/leased/isHopeless.ts
@@ -3,15 +3,32 @@
 import type { Step } from "../../common/leased/Step.js";
 import type { LeasedJob } from "./LeasedJob.js";
 
+/** What is known of an endpoint; nothing before its first report. */
+interface KnownEndpoint {
+    readonly current: EndpointCondition | undefined;
+}
+
 /**
  * Whether a task of the job needs more than any of the known endpoints of its service has. Unknown, and so false, while no
  * endpoint of the service is known.
  */
-export function isHopeless(job: LeasedJob, conditions: readonly (EndpointCondition | undefined)[]): boolean {
-    const known = conditions.filter(condition => condition?.service === job.route.service);
-    return known.length > 0 && job.order.steps.some(step => {
-        return !known.some(condition => condition !== undefined && couldRun(step, condition));
-    });
+export function isHopeless(job: LeasedJob, agents: Iterable<KnownEndpoint>): boolean {
+    return job.order.steps.some(step => isTooLarge(step, job.route.service, agents));
+}
+
+/** Looks at no more endpoints than it takes to find one that is large enough. */
+function isTooLarge(step: Step, service: string, agents: Iterable<KnownEndpoint>): boolean {
+    let known = false;
+    for (const { current } of agents) {
+        if (current?.service !== service) {
+            continue;
+        }
+        if (couldRun(step, current)) {
+            return false;
+        }
+        known = true;
+    }
+    return known;
 }
 
 function couldRun(step: Step, condition: EndpointCondition): boolean {
