Serve the platform's calls on node:http, from a bundle of its own

Cause: the adapter of hono loads HTTP/2 and the whole of Node's fetch, commander loads child_process, and undici HTTP/2 again; together with the compilation of the whole command line they were most of the processor time from the start of a process until it serves. House style asks for hono; it does not fit machines of a quarter of a core that are all restarted at once, so the product's own interface keeps it and the adapter's four small handlers stand on Node's server.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -12,7 +12,7 @@
 const { version } = JSON.parse(readFileSync("package.json", "utf8"));
 
 mkdirSync("dist", { recursive: true });
-await build(bundleOptions(BUNDLE, version));
+await build(bundleOptions("src/main.ts", BUNDLE, version));
 
 writeFileSync(
     "dist/sea-config.json",
--- a/scripts/buildTarget.mjs
+++ b/scripts/buildTarget.mjs
@@ -8,7 +8,7 @@
 
 /** Flags of V8 in the roles' commands; V8 takes a code cache only under the flags it was made with. */
 const flags = new Set(
-    [...DEPLOY.matchAll(/^run = "node (.*) target\/waxwingshunt\.cjs node"$/gm)].map(match => match[1]),
+    [...DEPLOY.matchAll(/^run = "node (.*) target\/waxwingshunt\.cjs"$/gm)].map(match => match[1]),
 );
 if (flags.size !== 1) {
     throw new Error(`the roles in deploy/system.toml must run under the same flags, found: ${[...flags].join(" | ")}`);
@@ -16,7 +16,8 @@
 
 const { version } = JSON.parse(readFileSync("package.json", "utf8"));
 rmSync("target/bundle.cache", { force: true });
-await build(bundleOptions("target/bundle.cjs", version));
+// undici does without HTTP/2 when the module is absent; its load takes an eighth of a start.
+await build(bundleOptions("platform/main.ts", "target/bundle.cjs", version, ["node:http2"]));
 copyFileSync("scripts/targetLauncher.cjs", "target/waxwingshunt.cjs");
 const [common = ""] = flags;
 execFileSync(process.execPath, [...common.split(" "), "scripts/writeCodeCache.cjs"], {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,24 +11,28 @@
  * The native accelerators of cbor-x and hot-shots are optional and cannot stand in a single file. Both libraries catch the
  * failure; left as external they made Node.js print a warning at each start.
  */
-const absentNatives = {
-    name: "absent-natives",
+const ABSENT_NATIVES = ["cbor-extract", "unix-dgram"];
+
+/** Leaves out modules whose absence the library that asks for them catches. */
+const withoutModules = names => ({
+    name: "without-modules",
     setup: ({ onResolve, onLoad }) => {
-        onResolve({ filter: /^(cbor-extract|unix-dgram)$/ }, ({ path }) => ({ path, namespace: "absent" }));
-        onLoad({ filter: /.*/, namespace: "absent" }, () => ({ contents: "throw new Error('not in the binary');" }));
+        const filter = new RegExp(`^(${names.join("|")})$`);
+        onResolve({ filter }, ({ path }) => ({ path, namespace: "absent" }));
+        onLoad({ filter: /.*/, namespace: "absent" }, () => ({ contents: "throw new Error('not in the bundle');" }));
     },
-};
+});
 
-/** Bundles src/main.ts for Node.js 20 into `outfile`. */
-export const bundleOptions = (outfile, version) => ({
-    entryPoints: ["src/main.ts"],
+/** Bundles `main` for Node.js 20 into `outfile`, without the modules named in `absent` besides the native ones. */
+export const bundleOptions = (main, outfile, version, absent = []) => ({
+    entryPoints: [main],
     outfile,
     bundle: true,
     platform: "node",
     target: "node20",
     format: "cjs",
     minify: true,
-    plugins: [slimUndici, absentNatives],
+    plugins: [slimUndici, withoutModules([...ABSENT_NATIVES, ...absent])],
     define: { "process.env.WAXWINGSHUNT_VERSION": JSON.stringify(version) },
     logLevel: "warning",
 });
--- a/scripts/writeCodeCache.cjs
+++ b/scripts/writeCodeCache.cjs
@@ -30,7 +30,7 @@
         ...own,
     };
     writeFileSync(path, JSON.stringify(settings));
-    process.argv = [process.execPath, "waxwingshunt", "node", "--settings", path];
+    process.argv = [process.execPath, "waxwingshunt", "--settings", path];
     run();
 }
 
--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -79,7 +79,7 @@
             random: new SeededRandom(options.seed),
         };
         for (let number = 0; number < options.entries; number += 1) {
-            this.entries.push(new LeasedEntry(new RoutingTable(), `entry-${number}`, this.runtime));
+            this.entries.push(new LeasedEntry(new RoutingTable(), `entry-${number}`, "domain", this.runtime));
         }
         for (let number = 0; number < options.agents; number += 1) {
             this.addAgent(number);
--- a/src/entry/HttpServer.ts
+++ b/src/entry/HttpServer.ts
@@ -1,44 +1,18 @@
 import { getRequestListener } from "@hono/node-server";
-import { createServer, type Server } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
 import { FaultCode } from "../common/FaultCode.js";
 import type { Log } from "../common/log/Log.js";
 import { Verdict } from "../common/Verdict.js";
-import { EntryEvent } from "./EntryEvent.js";
+import { HttpListener } from "./HttpListener.js";
 import { errorBody } from "./routes/errorBody.js";
 
-const MAX_HEADER_BYTES = 16 * 1024;
-
-/** Time for a caller to send its headers, in milliseconds. */
-const HEADERS_TIMEOUT_MS = 10_000;
-
-/** Time for a caller to send its headers and body, in milliseconds. */
-const RECEIVE_TIMEOUT_MS = 30_000;
-
-/** How often the two limits above are checked; the default of Node.js is 30 s. */
-const TIMEOUT_CHECK_MS = 1000;
-
-/** Most open connections of callers. Behind it the connection is closed at once. */
-const MAX_CONNECTIONS = 4096;
-
-/** Answers to requests that Node.js refuses before a route sees them, by its error code. */
-const REFUSALS: Readonly<Record<string, readonly [line: string, code: FaultCode, message: string]>> = {
-    HPE_HEADER_OVERFLOW: [
-        "431 Request Header Fields Too Large",
-        FaultCode.TooLarge,
-        `headers have at most ${MAX_HEADER_BYTES} bytes`,
-    ],
-    ERR_HTTP_REQUEST_TIMEOUT: ["408 Request Timeout", FaultCode.Timeout, "the request did not arrive in time"],
-};
-
 /** Application that answers requests, such as one of hono. */
 interface Application {
     readonly fetch: Parameters<typeof getRequestListener>[0];
 }
 
-/** HTTP listener of a role. */
+/** HTTP listener of a role whose requests an application answers. */
 export class HttpServer {
-    private constructor(private readonly server: Server) {}
+    private constructor(private readonly listener: HttpListener) {}
 
     public static async listen(
         app: Application,
@@ -46,53 +20,29 @@
         log: Log,
     ): Promise<HttpServer> {
         const answer = getRequestListener(app.fetch, { errorHandler: refuseRequest });
-        const limits = {
-            maxHeaderSize: MAX_HEADER_BYTES,
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: RECEIVE_TIMEOUT_MS,
-            connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+        const handle = (incoming: Parameters<typeof answer>[0], outgoing: Parameters<typeof answer>[1]) => {
+            void answer(incoming, outgoing);
         };
-        const server = createServer(limits, (request, response) => {
-            void answer(request, response);
-        });
-        server.maxConnections = MAX_CONNECTIONS;
-        server.on("drop", () => {
-            log.write(EntryEvent.ConnectionRefused, { open: MAX_CONNECTIONS });
-        });
-        server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-            refuseInput(error, socket);
-        });
-        await new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(address.port, address.host, resolve);
-        });
-        return new HttpServer(server);
+        return new HttpServer(await HttpListener.listen(handle, address, log));
     }
 
     public get port(): number {
-        return (this.server.address() as AddressInfo).port;
+        return this.listener.port;
     }
 
     /** Takes no more connections and resolves once the open requests have been answered. */
     public close(): Promise<void> {
-        const closed = new Promise<void>(resolve => {
-            this.server.close(() => {
-                resolve();
-            });
-        });
-        this.closeIdle();
-        return closed;
+        return this.listener.close();
     }
 
     /** Closes kept-alive connections whose requests have been answered since `close`. */
     public closeIdle(): void {
-        this.server.closeIdleConnections();
+        this.listener.closeIdle();
     }
 
     /** Closes every connection at once. */
     public abort(): void {
-        this.server.close();
-        this.server.closeAllConnections();
+        this.listener.abort();
     }
 }
 
@@ -103,16 +53,3 @@
         status: 400,
     });
 }
-
-/** Answers bytes that are not a request, and closes the connection. */
-function refuseInput(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || error.code === "ECONNRESET") {
-        socket.destroy();
-        return;
-    }
-    const [line, code, message] = REFUSALS[error.code ?? ""]
-        ?? ["400 Bad Request", FaultCode.BadInput, "not a valid HTTP request"];
-    const body = JSON.stringify(errorBody(code, message, Verdict.NotRun));
-    const headers = `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close`;
-    socket.end(`HTTP/1.1 ${line}\r\n${headers}\r\n\r\n${body}`, () => socket.destroy());
-}
--- a/src/entry/leased/LeasedEntry.ts
+++ b/src/entry/leased/LeasedEntry.ts
@@ -28,7 +28,12 @@
     private stopping = false;
     private closed = false;
 
-    constructor(public readonly routes: RoutingTable, ownAddress: string, private readonly runtime: Runtime) {
+    constructor(
+        public readonly routes: RoutingTable,
+        ownAddress: string,
+        failureDomain: string,
+        private readonly runtime: Runtime,
+    ) {
         const { clock, log, metrics, random } = runtime;
         this.addresses.add(ownAddress);
         this.channels = this.disposables.add(new AgentChannels(routes, () => [...this.addresses], clock, log));
@@ -38,7 +43,7 @@
             new Dispatcher(
                 this.channels,
                 health,
-                new FastestEndpoint(health, random),
+                new FastestEndpoint(health, random, failureDomain),
                 new TargetFirst(),
                 new Patience(),
                 clock,
