Keep the tasks of a job together and prefer the own failure domain

Cause: each task went to the endpoint that was cheapest by a few percent, so a job of 8 tasks cost 8 orders, 8 messages of ends and 8 times its body, most of it between failure domains. A job is as late as its latest task, so spreading it over endpoints gains nothing while there is room, and one slow endpoint among eight delays it too.

An agent that has tasks of the job counts 15% faster, one in another failure domain 4% slower.

No task goes to an agent that was not heard for 600 ms, 100 ms before its loss.

--- a/src/common/leased/LEASE_TIMES.ts
+++ b/src/common/leased/LEASE_TIMES.ts
@@ -22,8 +22,11 @@
     AGENT_SILENCE_MS: 700,
     /** The same for an agent without tasks of the entry, which reports half as often. */
     IDLE_AGENT_SILENCE_MS: 1400,
-    /** An agent that was silent for so long is given no new tasks, because it may be lost. */
-    FRESH_REPORT_MS: 700,
+    /**
+     * An agent that was silent for so long is given no new tasks, because it may be lost. Shorter than its loss by the time
+     * that a run of the last order may outlive `LOST_RUN_MS`.
+     */
+    FRESH_REPORT_MS: 600,
     /** From the loss of an agent until its runs of this entry are over: tenure, stop orders and their repetition. */
     LOST_RUN_MS: 1200,
 } as const;
--- a/src/entry/leased/FastestEndpoint.ts
+++ b/src/entry/leased/FastestEndpoint.ts
@@ -23,12 +23,26 @@
 /** How far beyond the target an expected end may lie, as a multiple of the target; declared times are often far off. */
 const TARGET_TOLERANCE = 1.05;
 
+/**
+ * Advantage of an agent that gets other tasks of the job: they travel in one order and their ends in one message, and a job
+ * is as late as its latest task however few endpoints it is on.
+ */
+const SAME_AGENT_SHARE = 0.15;
+
+/** Disadvantage of an agent in another failure domain, where traffic between domains is paid for. */
+const AWAY_SHARE = 0.04;
+
 /** Random part of a cost, so that entries that see the same reports do not all choose the same endpoint. */
 const JITTER_SHARE = 0.05;
 
 /** Gives each task to the endpoint with room that is expected to finish it first. */
 export class FastestEndpoint implements LeasedPlacement {
-    constructor(private readonly health: AgentHealth, private readonly random: Random) {}
+    constructor(
+        private readonly health: AgentHealth,
+        private readonly random: Random,
+        /** Failure domain of the entry. */
+        private readonly failureDomain: string,
+    ) {}
 
     public choose(question: PlacementQuestion, agents: Iterable<AgentView>): AgentView | undefined {
         let best: AgentView | undefined;
@@ -46,7 +60,8 @@
         return best;
     }
 
-    private eligible({ job, step, task, now }: PlacementQuestion, agent: AgentView): boolean {
+    private eligible(question: PlacementQuestion, agent: AgentView): boolean {
+        const { job, step, task } = question;
         // Most agents are ruled out here at a crest, when this runs most often.
         if (!fits(step.need, agent.free())) {
             return false;
@@ -62,7 +77,7 @@
         if (!this.belowSpread(job, step, task, agent)) {
             return false;
         }
-        return this.servesTarget({ job, step, task, now }, agent);
+        return this.servesTarget(question, agent);
     }
 
     /**
@@ -86,7 +101,7 @@
         return here < step.maxPerEndpoint;
     }
 
-    private costMs({ step }: PlacementQuestion, agent: AgentView): number {
+    private costMs({ step, chosen }: PlacementQuestion, agent: AgentView): number {
         const condition = agent.current;
         const slowness = condition?.slowness ?? 1;
         const capacity = condition?.capacity.cpu ?? 1;
@@ -94,6 +109,8 @@
         const remote = step.preferredRack !== undefined && !condition?.labels.includes(step.preferredRack);
         const factors = (remote ? REMOTE_FACTOR : 1) * (this.health.suspect(agent.id) ? SUSPECT_FACTOR : 1);
         const runMs = step.estimateMs * slowness * factors;
-        return runMs * (1 + CROWDING_SHARE * crowding + JITTER_SHARE * this.random.next());
+        const away = agent.failureDomain === this.failureDomain ? 0 : AWAY_SHARE;
+        const together = chosen.has(agent.id) ? SAME_AGENT_SHARE : 0;
+        return runMs * (1 + CROWDING_SHARE * crowding + away - together + JITTER_SHARE * this.random.next());
     }
 }
--- a/src/entry/leased/PlacementQuestion.ts
+++ b/src/entry/leased/PlacementQuestion.ts
@@ -8,4 +8,6 @@
     readonly step: Step;
     readonly task: LeasedTask;
     readonly now: number;
+    /** Agents that have been chosen for other tasks of the job in this pass. */
+    readonly chosen: ReadonlySet<string>;
 }
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -37,15 +37,17 @@
 
     private placeJob(job: LeasedJob, accepting: readonly AgentView[], now: number): void {
         const batches = new Map<string, Batch>();
+        const chosen = new Set<string>();
         for (const task of job.tasks) {
             const step = job.order.steps[task.step];
             if (task.state !== TaskState.Ready || step === undefined) {
                 continue;
             }
-            const agent = this.placement.choose({ job, step, task, now }, accepting);
+            const agent = this.placement.choose({ job, step, task, now, chosen }, accepting);
             if (agent === undefined) {
                 break;
             }
+            chosen.add(agent.id);
             this.assign(task, agent, step, batches, now);
         }
         for (const batch of batches.values()) {
