Recall the endpoint from the store when an agent starts again

Cause: an agent that was killed or lost its power waits for the next heartbeat of its endpoint, up to 1.5 s and 0.75 s on average, although the endpoint never stopped.

Now an agent keeps the last report of its endpoint in the store, one write for each life, and tries it at its start. The endpoint's first answer confirms it; another life under the same id is not used before its heartbeat, because its size may differ. A drain that is not in the row yet is covered by the heartbeats within the time in which a restarted VM does not count. Without the store, the heartbeat is awaited as before.

--- /dev/null
+++ b/src/agent/leased/EndpointMemory.test.ts
@@ -0,0 +1,101 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { RowStore } from "../../common/leased/RowStore.js";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import { EndpointMemory } from "./EndpointMemory.js";
+
+const REPORT = {
+    life: { id: "endpoint", bornMs: 7 },
+    service: "s",
+    capacity: { cpu: 1, memoryMb: 1, gpu: 0 },
+    labels: ["a"],
+    draining: false,
+    sequence: 3,
+};
+
+/** Store with one table in memory that can be taken away. */
+class MemoryStore implements RowStore {
+    public readonly rows = new Map<string, Buffer>();
+    public writes = 0;
+    public available = true;
+
+    public read(): ReturnType<RowStore["read"]> {
+        return Promise.resolve({ kind: "unavailable", reason: "not asked for" });
+    }
+
+    public follow(): ReturnType<RowStore["follow"]> {
+        return Promise.resolve({ kind: "unavailable", reason: "not asked for" });
+    }
+
+    public readRow(_: string, key: string): ReturnType<RowStore["readRow"]> {
+        const value = this.rows.get(key);
+        const rows = value === undefined ? [] : [{ key, value }];
+        return Promise.resolve(
+            this.available ? { kind: "rows", rows, version: 1 } : { kind: "unavailable", reason: "down" },
+        );
+    }
+
+    public write(_: string, key: string, value: Buffer | undefined): ReturnType<RowStore["write"]> {
+        if (!this.available) {
+            return Promise.resolve("down");
+        }
+        this.writes += 1;
+        if (value === undefined) {
+            this.rows.delete(key);
+        }
+        else {
+            this.rows.set(key, value);
+        }
+        return Promise.resolve(undefined);
+    }
+}
+
+async function settle(): Promise<void> {
+    await new Promise(resolve => setImmediate(resolve));
+}
+
+describe("EndpointMemory", () => {
+    it("guards against a report that does not outlive its process, or that counts as newer than a heartbeat", async () => {
+        const store = new MemoryStore();
+        new EndpointMemory(store, "vm", new SilentLog()).remember(REPORT);
+        await settle();
+        const recalled = await new EndpointMemory(store, "vm", new SilentLog()).recall();
+        assert.deepEqual(recalled, { ...REPORT, sequence: -1 });
+        assert.equal(await new EndpointMemory(store, "other", new SilentLog()).recall(), undefined);
+    });
+
+    it("guards against a write for each heartbeat", async () => {
+        const store = new MemoryStore();
+        const memory = new EndpointMemory(store, "vm", new SilentLog());
+        for (let sequence = 1; sequence <= 5; sequence += 1) {
+            memory.remember({ ...REPORT, sequence });
+            await settle();
+        }
+        assert.equal(store.writes, 1);
+        memory.remember({ ...REPORT, draining: true });
+        await settle();
+        assert.equal(store.writes, 2);
+    });
+
+    it("guards against a report that is lost with one outage of the store, and against one that stays behind", async () => {
+        const store = new MemoryStore();
+        const memory = new EndpointMemory(store, "vm", new SilentLog());
+        store.available = false;
+        memory.remember(REPORT);
+        await settle();
+        assert.equal(await memory.recall(), undefined);
+        store.available = true;
+        memory.remember(REPORT);
+        await settle();
+        assert.equal(store.rows.size, 1);
+        memory.forget();
+        await settle();
+        assert.equal(store.rows.size, 0);
+    });
+
+    it("guards against rows of another format that end the agent", async () => {
+        const store = new MemoryStore();
+        store.rows.set("vm", Buffer.from('{"life":1}'));
+        assert.equal(await new EndpointMemory(store, "vm", new SilentLog()).recall(), undefined);
+    });
+});
--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -2,7 +2,9 @@
 import { describe, it } from "node:test";
 import { SilentLog } from "../../common/log/SilentLog.js";
 import { VirtualClock } from "../../common/VirtualClock.js";
+import { CallFate } from "../../emulator/CallFate.js";
 import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import { EmulatedEndpoint } from "../../emulator/EmulatedEndpoint.js";
 import type { EndpointControl } from "./EndpointControl.js";
 import { EndpointSession } from "./EndpointSession.js";
 import { LookOutcome } from "./LookOutcome.js";
@@ -38,7 +40,61 @@
     };
 }
 
+/** Lets time pass so that promises settle between its steps. */
+async function pass(clock: VirtualClock, ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 1) {
+        clock.advance(1);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
+/** Endpoint in its life that began at `bornMs`. */
+function soundEndpoint(clock: VirtualClock, bornMs: number): EmulatedEndpoint {
+    return new EmulatedEndpoint(clock, {
+        id: "endpoint",
+        bornMs,
+        capacity: REPORT.capacity,
+        work: () => ({ ms: 1, how: "done" }),
+        cpuOf: () => 1,
+        fate: () => CallFate.Answered,
+    });
+}
+
 describe("EndpointSession", () => {
+    describe("an agent that starts again", () => {
+        it("guards against an endpoint that is idle until its next heartbeat", async () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(soundEndpoint(clock, 1), clock, new SilentLog(), 1);
+            session.recall({ ...REPORT, sequence: -1 });
+            await pass(clock, 20);
+            assert.equal(session.alive, true);
+            assert.equal(session.report?.life.bornMs, 1);
+            session.dispose();
+        });
+
+        it("guards against a life of unknown size that is used before it has announced itself", async () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(soundEndpoint(clock, 2), clock, new SilentLog(), 1);
+            session.recall({ ...REPORT, sequence: -1 });
+            await pass(clock, 20);
+            assert.equal(session.report, undefined);
+            session.announce({ ...REPORT, life: { id: "endpoint", bornMs: 2 } });
+            await pass(clock, 20);
+            assert.equal(session.alive, true);
+            session.dispose();
+        });
+
+        it("guards against a stored report that replaces a heartbeat", async () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(soundEndpoint(clock, 2), clock, new SilentLog(), 1);
+            session.announce({ ...REPORT, life: { id: "endpoint", bornMs: 2 } });
+            session.recall({ ...REPORT, sequence: -1 });
+            await pass(clock, 20);
+            assert.equal(session.report?.life.bornMs, 2);
+            session.dispose();
+        });
+    });
+
     describe("an endpoint that is flapping", () => {
         for (const outcome of [LookOutcome.Unanswered, LookOutcome.Unreachable, LookOutcome.OtherLife]) {
             it(`guards against a loop of looks that each open a connection, answered as ${outcome}`, async () => {
@@ -47,10 +103,7 @@
                 const control = brokenEndpoint(clock, outcome, () => looks += 1);
                 const session = new EndpointSession(control, clock, new SilentLog(), 1);
                 session.announce(REPORT);
-                for (let passed = 0; passed < 2000; passed += 1) {
-                    clock.advance(1);
-                    await new Promise(resolve => setImmediate(resolve));
-                }
+                await pass(clock, 2000);
                 assert.ok(looks <= 2 * MAX_LOOKS_PER_S, `${looks} looks in 2 s`);
                 session.dispose();
             });
@@ -69,7 +122,7 @@
                 work: () => ({ ms: 100, how: "done" }),
                 fate: call => {
                     looks += call === "look" ? 1 : 0;
-                    return "answered";
+                    return CallFate.Answered;
                 },
             });
             await deployment.advance(500);
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -66,6 +66,8 @@
     /** Looks in a row that were not answered with a list. */
     private misses = 0;
     private gone = true;
+    /** Whether the report is of an earlier process and neither a heartbeat nor an answer has confirmed it. */
+    private recalled = false;
     private disposed = false;
 
     /** Fires with each run list. */
@@ -103,6 +105,15 @@
         return this.time.now();
     }
 
+    /** Tries the endpoint of an earlier process, unless a heartbeat has named one. */
+    public recall(report: EndpointReport): void {
+        if (this.current === undefined) {
+            this.log.write(LeaseEvent.EndpointRecalled, { endpoint: report.life.id, born: report.life.bornMs });
+            this.announce(report);
+            this.recalled = true;
+        }
+    }
+
     /** Takes a heartbeat. An older life, or an older heartbeat of this life, changes nothing. */
     public announce(report: EndpointReport): void {
         const known = this.current;
@@ -117,6 +128,7 @@
             this.log.write(LeaseEvent.EndpointState, { endpoint: report.life.id, draining: report.draining });
         }
         this.current = report;
+        this.recalled = false;
         this.lookOn();
     }
 
@@ -221,6 +233,11 @@
             return 0;
         }
         const bornMs = answer.list?.bornMs ?? report.life.bornMs;
+        if (bornMs !== report.life.bornMs && this.recalled) {
+            // Another life may be of another size; its heartbeat says of which.
+            this.leave();
+            return 0;
+        }
         if (bornMs !== report.life.bornMs) {
             this.meet(bornMs, report);
             return COLLECT_MS;
@@ -243,6 +260,7 @@
         this.answeredAt = this.clock.now();
         this.refusals = 0;
         this.misses = 0;
+        this.recalled = false;
         if (this.gone) {
             this.gone = false;
             this.log.write(LeaseEvent.EndpointAnswers, { endpoint: this.current?.life.id });
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -13,6 +13,13 @@
         text: "heartbeat of an older life or out of order ignored",
     },
     HeartbeatUnreadable: { number: 8006, level: LogLevel.Warn, text: "heartbeat cannot be read and names no endpoint" },
+    EndpointRecalled: { number: 8008, level: LogLevel.Info, text: "endpoint recalled from the store, trying it" },
+    MemoryUnreadable: { number: 8030, level: LogLevel.Warn, text: "stored report of the endpoint cannot be read" },
+    MemoryNotWritten: {
+        number: 8031,
+        level: LogLevel.Info,
+        text: "report of the endpoint not stored, trying again later",
+    },
     FenceRaised: { number: 8007, level: LogLevel.Warn, text: "endpoint has seen a higher fence, raising it" },
     OrderTaken: { number: 8010, level: LogLevel.Info, text: "order taken" },
     RunEnded: { number: 8011, level: LogLevel.Info, text: "run ended" },
--- a/src/agent/leased/LeasedAgent.ts
+++ b/src/agent/leased/LeasedAgent.ts
@@ -4,6 +4,7 @@
 import type { Runtime } from "../../common/Runtime.js";
 import type { Channel } from "../../common/wire/Channel.js";
 import type { EndpointControl } from "./EndpointControl.js";
+import type { EndpointMemory } from "./EndpointMemory.js";
 import type { EndpointReport } from "./EndpointReport.js";
 import { EndpointSession } from "./EndpointSession.js";
 import { EntryDialer } from "./EntryDialer.js";
@@ -18,6 +19,21 @@
 /** How often the number of entries is adapted; entries need some seconds to hear of the agents that have changed theirs. */
 const ADAPT_INTERVAL_MS = 5000;
 
+interface LeasedAgentOptions {
+    /** Name of the VM. */
+    readonly id: string;
+    readonly control: EndpointControl;
+    readonly routes: RoutingTable;
+    /** Opens a channel to the entry at `ip:port`. */
+    readonly dial: (address: string) => Promise<Channel>;
+    /** Orders the agent processes of this VM: higher than that of any earlier one. */
+    readonly fence: number;
+    /** Decides to how many entries the agent is attached. */
+    readonly target?: LinkTarget;
+    /** Keeps the endpoint's reports beyond the life of this process. */
+    readonly memory?: EndpointMemory;
+}
+
 /** Agent that runs tasks under leases at the endpoint beside it, on the orders of the entries that it is attached to. */
 export class LeasedAgent implements Disposable {
     private readonly disposables = new DisposableStore();
@@ -28,16 +44,9 @@
     private readonly target: LinkTarget;
     private cancelAdapt: (() => void) | undefined;
 
-    constructor(
-        id: string,
-        control: EndpointControl,
-        routes: RoutingTable,
-        dial: (address: string) => Promise<Channel>,
-        private readonly runtime: Runtime,
-        fence: number,
-        target = new LinkTarget(),
-    ) {
+    constructor(private readonly options: LeasedAgentOptions, private readonly runtime: Runtime) {
         const { clock, log } = runtime;
+        const { id, control, routes, dial, fence, target = new LinkTarget() } = options;
         this.target = target;
         this.session = this.disposables.add(new EndpointSession(control, clock, log, fence));
         this.runs = this.disposables.add(new Runs(this.session, clock, log));
@@ -51,9 +60,18 @@
         this.adaptLater();
     }
 
+    /** Tries the endpoint that an earlier process has known. */
+    public async recall(): Promise<void> {
+        const report = await this.options.memory?.recall();
+        if (report !== undefined) {
+            this.session.recall(report);
+        }
+    }
+
     /** Takes a heartbeat of the endpoint. */
     public announce(report: EndpointReport): void {
         this.session.announce(report);
+        this.options.memory?.remember(report);
         this.links.reportSoon();
     }
 
@@ -61,6 +79,7 @@
     public leave(id: string): void {
         if (this.session.report?.life.id === id) {
             this.session.leave();
+            this.options.memory?.forget();
             this.links.reportSoon();
         }
     }
--- a/src/common/leased/RowStore.ts
+++ b/src/common/leased/RowStore.ts
@@ -14,10 +14,12 @@
 
 /** The platform's table store. No method rejects. */
 export interface RowStore {
-    /** Reads all rows of a table as of one moment. */
+    /** Reads all rows of a table; rows that change meanwhile may be missing, but not from `follow` after the version. */
     read(table: string): Promise<RowsAnswer>;
+    /** Reads one row; there is none in the answer when it does not exist. */
+    readRow(table: string, key: string): Promise<RowsAnswer>;
     /** Waits up to `waitMs` for rows that changed after `version`. */
     follow(table: string, version: number, waitMs: number): Promise<RowsAnswer>;
-    /** Writes a row; resolves with the reason when it may not have been written. */
-    write(table: string, key: string, value: Buffer): Promise<string | undefined>;
+    /** Writes a row, or removes it without a value; resolves with the reason when that may not have been done. */
+    write(table: string, key: string, value: Buffer | undefined): Promise<string | undefined>;
 }
--- a/src/common/leased/TableWatch.test.ts
+++ b/src/common/leased/TableWatch.test.ts
@@ -24,6 +24,7 @@
     };
     const store: RowStore = {
         read: () => next("read"),
+        readRow: () => next("readRow"),
         follow: (_, version) => next(`follow ${version}`),
         write: () => Promise.resolve(undefined),
     };
--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -159,7 +159,10 @@
         this.endpoints.push(endpoint);
         const dial = (address: string) => this.dial(number, Number(address.slice("entry-".length)));
         const target = this.options.linkTarget?.();
-        const agent = new LeasedAgent(`agent-${number}`, endpoint, new RoutingTable(), dial, this.runtime, 1, target);
+        const agent = new LeasedAgent(
+            { id: `agent-${number}`, control: endpoint, routes: new RoutingTable(), dial, fence: 1, target },
+            this.runtime,
+        );
         this.agents.push(agent);
         agent.learnEntries(this.entries.map((_, entry) => `entry-${entry}`));
         this.announce(number, FIRST_BORN_MS, 1);
