--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -27,8 +27,9 @@
 /** How often an unchanged condition is reported, as a sign of life; twice as often to entries with runs here. */
 const REPORT_INTERVAL_MS = 200;
 
-/** How often the tenures of the entries are checked. */
+/** How often the tenures of the entries are checked while there are runs, and while there are none. */
 const CHECK_INTERVAL_MS = 50;
+const IDLE_CHECK_INTERVAL_MS = 200;
 
 /** Delay that collects ends of runs into one message. */
 const ENDS_DELAY_MS = 1;
@@ -156,7 +157,9 @@
 
     /** Checks the tenures of all entries by one timer. */
     private checkLater(): void {
-        this.cancelCheck = this.clock.schedule(CHECK_INTERVAL_MS, () => {
+        // A tenure is longer than the idle interval, so none that began meanwhile is checked too late.
+        const intervalMs = this.runs.count > 0 ? CHECK_INTERVAL_MS : IDLE_CHECK_INTERVAL_MS;
+        this.cancelCheck = this.clock.schedule(intervalMs, () => {
             for (const entry of [...this.attached.values()]) {
                 entry.link.check();
                 this.closeReleased(entry);
--- a/src/agent/leased/LinkTarget.ts
+++ b/src/agent/leased/LinkTarget.ts
@@ -1,5 +1,5 @@
 /** Agents of one kind that an entry should be attached to: enough to find a fast one with room, cheap to keep. */
-const AGENTS_PER_ENTRY = 20;
+const AGENTS_PER_ENTRY = 16;
 
 /** Entries that an agent is attached to at first, before they have told how many agents they have. */
 const INITIAL_ENTRIES = 8;
@@ -7,8 +7,9 @@
 /** Least number of entries: one that is lost or has no callers must not leave the endpoint idle. */
 const MIN_ENTRIES = 4;
 
-/** Ratio of wanted to present agents of an entry within which nothing changes. */
-const TOLERANCE = 1.5;
+/** Ratios of wanted to present agents of an entry between which nothing changes: too few matter sooner than too many. */
+const MAX_RATIO = 1.25;
+const MIN_RATIO = 1 / 1.5;
 
 /** Largest change in one step, as a ratio; the other agents change at the same time. */
 const MAX_STEP = 2;
@@ -37,7 +38,7 @@
         }
         const mean = agentCounts.reduce((sum, count) => sum + count, 0) / agentCounts.length;
         const ratio = this.agentsPerEntry / Math.max(1, mean);
-        if (ratio < TOLERANCE && ratio > 1 / TOLERANCE) {
+        if (ratio < MAX_RATIO && ratio > MIN_RATIO) {
             return false;
         }
         const step = Math.min(MAX_STEP, Math.max(1 / MAX_STEP, ratio));
--- a/src/common/log/LineWriter.ts
+++ b/src/common/log/LineWriter.ts
@@ -1,5 +1,5 @@
 /** Lines wait this long, so that a busy process makes few system calls. */
-const FLUSH_INTERVAL_MS = 60;
+const FLUSH_INTERVAL_MS = 200;
 
 /** Most bytes that wait, here and in the stream, before lines are dropped. */
 const MAX_WAITING_BYTES = 512 * 1024;
