Try lost entries often while they may be starting again

Cause: pauses between tries doubled to 1.5 s, so an entry that had started again after a loss of power waited for its agents about as long as its start had taken. For the first twenty tries the pause is at most 300 ms.

--- a/src/agent/leased/EntryDialer.test.ts
+++ b/src/agent/leased/EntryDialer.test.ts
@@ -130,6 +130,19 @@
         });
     });
 
+    describe("a loss of power everywhere", () => {
+        it("guards against an entry that has started again and waits for its agents", async () => {
+            const harness = new DialerHarness();
+            harness.dialer.learn(addresses);
+            await harness.advance(100);
+            addresses.forEach(address => harness.take(address));
+            await harness.advance(3000);
+            harness.down.clear();
+            await harness.advance(320);
+            assert.equal(harness.open.size, WANTED);
+        });
+    });
+
     describe("a loss of all entries", () => {
         it("guards against dials of every entry at once", async () => {
             const harness = new DialerHarness();
--- a/src/agent/leased/EntryDialer.ts
+++ b/src/agent/leased/EntryDialer.ts
@@ -9,11 +9,15 @@
 /** Pause before the first try after a loss. */
 const FIRST_PAUSE_MS = 60;
 
-/** Longest pause between tries; entries that left for good are still tried so often. */
+/** Longest pause between tries while the entry may be starting again, which takes some seconds with its whole domain. */
+const RESTART_PAUSE_MS = 300;
+const RESTART_TRIES = 20;
+
+/** Longest pause between tries afterwards; entries that left for good are still tried so often. */
 const MAX_PAUSE_MS = 1500;
 
-/** Tries without a connection, at the longest pause, after which an address is dropped: about a minute and a half. */
-const MAX_TRIES = 60;
+/** Tries without a connection after which an address is dropped: about a minute and a half. */
+const MAX_TRIES = 80;
 
 /** Tries in a row without a connection after which another entry takes the place of this one; a restart needs fewer. */
 const TRIES_UNTIL_REPLACED = 3;
@@ -186,10 +190,15 @@
     /** Lets some time pass before the entry is tried again, if it is still wanted then. */
     private pause(entry: KnownEntry): void {
         entry.busy = true;
-        const pauseMs = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(entry.tries, 6));
-        this.clock.schedule(pauseMs, () => {
+        this.clock.schedule(pauseMs(entry.tries), () => {
             entry.busy = false;
             this.maintain();
         });
     }
 }
+
+/** Pause after `tries` failed tries in a row, in milliseconds. */
+function pauseMs(tries: number): number {
+    const longest = tries < RESTART_TRIES ? RESTART_PAUSE_MS : MAX_PAUSE_MS;
+    return Math.min(longest, FIRST_PAUSE_MS * 2 ** Math.min(tries, 6));
+}
--- a/src/emulator/playLoad.test.ts
+++ b/src/emulator/playLoad.test.ts
@@ -6,9 +6,19 @@
 /** Bounds from the users' targets: 99 of 100 in their target on quiet days, and a mean worth of 0.73 on heavy ones. */
 const QUIET_IN_TARGET = 0.99;
 const HEAVY_WORTH = 0.73;
+const LARGE_WORTH = 0.78;
 
 const SEEDS = [11, 12, 13];
 
+/** Half of the large deployment, which is played in half of the time. */
+const SKEW = {
+    ...LOAD_PATTERNS.skew,
+    entries: 18,
+    callers: 26,
+    slowness: LOAD_PATTERNS.skew.slowness.slice(0, 80),
+    lengthMs: 1000,
+};
+
 /** Load of a quiet day, below half of what the endpoints can do. */
 const QUIET = { ...LOAD_PATTERNS.steady, utilisation: () => 0.4 };
 
@@ -31,6 +41,12 @@
         assert.ok(mean >= HEAVY_WORTH, `worth ${mean}`);
     });
 
+    it("guards against entries with many callers whose bounded number of agents has no room while others have", async () => {
+        const result = await playLoad(SKEW, 11);
+        assert.ok(result.worth >= LARGE_WORTH, `worth ${result.worth}`);
+        assert.ok(result.refused === 0, `${result.refused} refused below capacity`);
+    });
+
     it("guards against eight entries that give away the same room because they hear of it late", async () => {
         const result = await playLoad(LOAD_PATTERNS.mesh, 11);
         assert.ok(result.worth >= HEAVY_WORTH, `worth ${result.worth}`);
