--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -6,6 +6,8 @@
 import { EndpointClock } from "./EndpointClock.js";
 import type { EndpointControl } from "./EndpointControl.js";
 import type { EndpointReport } from "./EndpointReport.js";
+import { isOlderReport } from "./isOlderReport.js";
+import { isSameLife } from "./isSameLife.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import { LookOutcome } from "./LookOutcome.js";
 import type { RunList } from "./RunList.js";
@@ -117,7 +119,7 @@
     /** Takes a heartbeat. An older life, or an older heartbeat of this life, changes nothing. */
     public announce(report: EndpointReport): void {
         const known = this.current;
-        if (known !== undefined && isOlder(report, known)) {
+        if (known !== undefined && isOlderReport(report, known)) {
             this.log.write(LeaseEvent.HeartbeatIgnored, { endpoint: report.life.id, sequence: report.sequence });
             return;
         }
@@ -295,14 +297,3 @@
         });
     }
 }
-
-function isSameLife(a: EndpointReport, b: EndpointReport): boolean {
-    return a.life.id === b.life.id && a.life.bornMs === b.life.bornMs;
-}
-
-function isOlder(report: EndpointReport, known: EndpointReport): boolean {
-    if (isSameLife(report, known)) {
-        return report.sequence <= known.sequence;
-    }
-    return report.life.bornMs < known.life.bornMs;
-}
--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -2,13 +2,13 @@
 import type { Disposable } from "../../common/Disposable.js";
 import { DueTimer } from "../../common/DueTimer.js";
 import type { EndpointCondition } from "../../common/leased/EndpointCondition.js";
-import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
 import type { RoutingTable } from "../../common/leased/RoutingTable.js";
 import type { RunEnd } from "../../common/leased/RunEnd.js";
 import { RunResult } from "../../common/leased/RunResult.js";
 import type { Log } from "../../common/log/Log.js";
 import type { Channel } from "../../common/wire/Channel.js";
 import type { Message } from "../../common/wire/Message.js";
+import { describeCondition } from "./describeCondition.js";
 import type { EndpointSession } from "./EndpointSession.js";
 import { EntryLink } from "./EntryLink.js";
 import { isWorthReporting } from "./isWorthReporting.js";
@@ -280,19 +280,7 @@
     }
 
     private condition(): EndpointCondition {
-        const report = this.session.report;
-        const clockMs = this.session.clockMs;
-        const sound = this.session.alive && clockMs !== undefined;
-        return {
-            service: report?.service ?? "",
-            endpoint: report?.life.id ?? "",
-            labels: report?.labels ?? [],
-            capacity: report?.capacity ?? NO_RESOURCES,
-            used: this.runs.used,
-            accepting: report !== undefined && sound && !report.draining && !this.stopping,
-            slowness: this.runs.slownessValue,
-            clockMs: clockMs ?? 0,
-        };
+        return describeCondition(this.session, this.runs, !this.stopping);
     }
 
     private sendAll(message: Message): void {
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -15,7 +15,7 @@
 import type { AgentHealth } from "./AgentHealth.js";
 import type { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
-import { isHopeless } from "./isHopeless.js";
+import { findRefusal } from "./findRefusal.js";
 import type { JobOrdering } from "./JobOrdering.js";
 import type { JobOutcome } from "./JobOutcome.js";
 import { JobTable } from "./JobTable.js";
@@ -24,6 +24,7 @@
 import type { LeasedTask } from "./LeasedTask.js";
 import { newJob } from "./newJob.js";
 import type { Patience } from "./Patience.js";
+import { placedTasks } from "./placedTasks.js";
 import { TaskPlacer } from "./TaskPlacer.js";
 import { TaskState } from "./TaskState.js";
 
@@ -33,9 +34,6 @@
 /** How often jobs are looked at for their deadlines while none of them waits. */
 const IDLE_TICK_MS = 50;
 
-/** Time after its deadline at which a job that still runs is given up, for answers that are about to come. */
-const OVERTIME_MS = 100;
-
 /** Time from a report of free room to the next pass over the waiting jobs, so that one pass answers several reports. */
 const PASS_SPACING_MS = 3;
 
@@ -274,14 +272,7 @@
     }
 
     private abortRest(job: LeasedJob, reason: string): void {
-        const byAgent = new Map<string, string[]>();
-        for (const task of job.tasks) {
-            if (task.state === TaskState.Placed && task.agent !== undefined) {
-                const names = byAgent.get(task.agent) ?? [];
-                byAgent.set(task.agent, [...names, task.name]);
-            }
-        }
-        for (const [agent, tasks] of byAgent) {
+        for (const [agent, tasks] of placedTasks(job)) {
             this.channels.get(agent)?.channel.send({ kind: "abort", tasks, reason: `job ${reason}` });
         }
     }
@@ -312,14 +303,9 @@
 
     private endOverdue(now: number): void {
         for (const job of this.jobs.all) {
-            if (!job.offered && isHopeless(job, this.channels.agents)) {
-                this.refuse(job, Verdict.NotRun, "no endpoint is large enough or has the label");
-            }
-            else if (!job.offered && now >= this.patience.refuseAt(job)) {
-                this.refuse(job, Verdict.NotRun, "no room in time");
-            }
-            else if (now >= job.deadlineAt + OVERTIME_MS) {
-                this.refuse(job, job.offered ? Verdict.MayHaveRun : Verdict.NotRun, "time is over");
+            const refusal = findRefusal(job, now, this.patience, this.channels.agents);
+            if (refusal !== undefined) {
+                this.refuse(job, refusal.verdict, refusal.reason);
             }
         }
     }
