--- /dev/null
+++ b/src/entry/leased/AgentChannels.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Clock } from "../../common/Clock.js";
+import { Emitter } from "../../common/Emitter.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import { RoutingTable } from "../../common/leased/RoutingTable.js";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import type { Channel } from "../../common/wire/Channel.js";
+import type { Message } from "../../common/wire/Message.js";
+import { Role } from "../../common/wire/Role.js";
+import { AgentChannels } from "./AgentChannels.js";
+
+const LOAD: Message = {
+    kind: "load",
+    condition: {
+        service: "s",
+        endpoint: "e",
+        labels: [],
+        capacity: { cpu: 1, memoryMb: 1, gpu: 0 },
+        used: { cpu: 0, memoryMb: 0, gpu: 0 },
+        accepting: true,
+        slowness: 1,
+        clockMs: 1,
+    },
+    orders: 0,
+    tenured: true,
+};
+
+/** Clock of a process that can stand still: timers that became due meanwhile fire late, once it goes on. */
+class StallingClock implements Clock {
+    private time = 0;
+    private timers: { at: number; callback: () => void; }[] = [];
+
+    public now(): number {
+        return this.time;
+    }
+
+    public schedule(delayMs: number, callback: () => void): () => void {
+        const timer = { at: this.time + delayMs, callback };
+        this.timers.push(timer);
+        return () => {
+            this.timers = this.timers.filter(other => other !== timer);
+        };
+    }
+
+    /** Lets time pass in one step. */
+    public pass(ms: number): void {
+        this.time += ms;
+        const due = this.timers.filter(timer => timer.at <= this.time);
+        this.timers = this.timers.filter(timer => timer.at > this.time);
+        due.forEach(timer => timer.callback());
+    }
+}
+
+/** An entry with one attached agent that has reported once. */
+function attachAgent(clock: Clock): { readonly channels: AgentChannels; readonly messages: Emitter<Message>; } {
+    const messages = new Emitter<Message>();
+    const channel: Channel = {
+        peer: { role: Role.Agent, id: "a", incarnation: "1", region: "r", failureDomain: "d", address: "a" },
+        open: true,
+        onMessage: messages.event,
+        onClose: new Emitter<string>().event,
+        send: () => true,
+        close: () => undefined,
+        dispose: () => undefined,
+    };
+    const channels = new AgentChannels(new RoutingTable(), () => [], clock, new SilentLog());
+    channels.attach(channel);
+    messages.fire(LOAD);
+    return { channels, messages };
+}
+
+describe("AgentChannels", () => {
+    describe("an entry that stood still", () => {
+        it("guards against the loss of every agent before their reports have been read", () => {
+            const clock = new StallingClock();
+            const { channels, messages } = attachAgent(clock);
+            clock.pass(10 * LEASE_TIMES.IDLE_AGENT_SILENCE_MS);
+            assert.ok(channels.get("a") !== undefined);
+            messages.fire(LOAD);
+            clock.pass(LEASE_TIMES.TENURE_INTERVAL_MS);
+            assert.ok(channels.get("a") !== undefined);
+        });
+    });
+
+    describe("an agent that is silent", () => {
+        it("guards against one that is kept", () => {
+            const clock = new StallingClock();
+            const { channels } = attachAgent(clock);
+            const limitMs = LEASE_TIMES.IDLE_AGENT_SILENCE_MS + 2 * LEASE_TIMES.TENURE_INTERVAL_MS;
+            for (let passed = 0; passed < limitMs; passed += LEASE_TIMES.TENURE_INTERVAL_MS) {
+                clock.pass(LEASE_TIMES.TENURE_INTERVAL_MS);
+            }
+            assert.equal(channels.get("a"), undefined);
+        });
+    });
+});
