--- a/src/agent/leased/isWorthReporting.ts
+++ b/src/agent/leased/isWorthReporting.ts
@@ -2,10 +2,10 @@
 import type { Resources } from "../../common/leased/Resources.js";
 
 /** Share of an endpoint's room below which each change decides whether another task fits. */
-const SCARCE_SHARE = 0.35;
+const SCARCE_SHARE = 0.5;
 
 /** Change of the occupied share of a roomy endpoint from which entries would choose differently. */
-const ROOM_CHANGE = 0.25;
+const ROOM_CHANGE = 0.15;
 
 /** Change of an endpoint's slowness from which entries would choose differently, as a share. */
 const SLOWNESS_CHANGE = 0.1;
--- a/src/entry/leased/FastestEndpoint.ts
+++ b/src/entry/leased/FastestEndpoint.ts
@@ -24,10 +24,10 @@
 const TARGET_TOLERANCE = 1.05;
 
 /**
- * Advantage of an agent that gets other tasks of the job: they travel in one order and their ends in one message, and a job
- * is as late as its latest task however few endpoints it is on.
+ * Advantage of an agent that gets other tasks of the job, which travel in one order and their ends in one message. A larger
+ * one fills endpoints that other entries are about to fill as well.
  */
-const SAME_AGENT_SHARE = 0.15;
+const SAME_AGENT_SHARE = 0.03;
 
 /** Disadvantage of an agent in another failure domain, where traffic between domains is paid for. */
 const AWAY_SHARE = 0.04;
