Notice silent agents also at an entry that is always late

Found reading the diff: an entry whose checks come late each time would have put off the check for silent agents for ever. It is put off once at most.

--- a/src/entry/leased/AgentChannels.test.ts
+++ b/src/entry/leased/AgentChannels.test.ts
@@ -83,6 +83,17 @@
         });
     });
 
+    describe("an entry that is short of processor time", () => {
+        it("guards against a silent agent that is never noticed", () => {
+            const clock = new StallingClock();
+            const { channels } = attachAgent(clock);
+            for (let check = 0; check < 4; check += 1) {
+                clock.pass(LEASE_TIMES.IDLE_AGENT_SILENCE_MS);
+            }
+            assert.equal(channels.get("a"), undefined);
+        });
+    });
+
     describe("an agent that is silent", () => {
         it("guards against one that is kept", () => {
             const clock = new StallingClock();
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -28,6 +28,7 @@
     private readonly loads = new Emitter<AgentView>();
     private cancelTenure: (() => void) | undefined;
     private checkedAt = 0;
+    private waitsForReports = false;
 
     /** Attached agents; can be gone through any number of times. */
     public readonly agents: Iterable<AgentView> = { [Symbol.iterator]: () => this.views.values() };
@@ -126,11 +127,12 @@
 
     private renewTenures(): void {
         const now = this.clock.now();
-        // After standing still itself, the entry first has to read what has arrived meanwhile.
-        const stoodStill = now - this.checkedAt > MAX_CHECK_GAP_MS;
+        // After standing still itself, the entry first has to read what has arrived meanwhile; one that is always late checks
+        // every other time.
+        this.waitsForReports = !this.waitsForReports && now - this.checkedAt > MAX_CHECK_GAP_MS;
         this.checkedAt = now;
         for (const view of [...this.views.values()]) {
-            if (!stoodStill && isSilent(view, now)) {
+            if (!this.waitsForReports && isSilent(view, now)) {
                 this.lose(view, "silent");
                 view.channel.dispose();
             }
