--- a/src/agent/leased/EntryLinks.test.ts
+++ b/src/agent/leased/EntryLinks.test.ts
@@ -16,17 +16,22 @@
 const MAX_REPORTS_PER_S = 50;
 const HEARTBEATS_PER_S = 1000 / 150;
 
+/** One agent with `entries` entries, whose tasks end as done after `runMs`. */
+function deploy(entries: number, runMs: (task: string) => number): EmulatedDeployment {
+    return new EmulatedDeployment({
+        entries,
+        agents: 1,
+        seed: 1,
+        cpu: 64_000,
+        taskCpu: TASK_CPU,
+        work: task => ({ ms: runMs(task), how: "done" }),
+    });
+}
+
 describe("EntryLinks", () => {
     describe("many entries that share an agent", () => {
         it("guards against reports that grow with the entries times the changes", async () => {
-            const deployment = new EmulatedDeployment({
-                entries: ENTRIES,
-                agents: 1,
-                seed: 1,
-                cpu: 64_000,
-                taskCpu: TASK_CPU,
-                work: () => ({ ms: 60, how: "done" }),
-            });
+            const deployment = deploy(ENTRIES, () => 60);
             await deployment.advance(ATTACH_MS);
             const counts = { load: 0, ended: 0, run: 0 };
             deployment.links.forEach(({ atEntry, atAgent }) => {
@@ -49,14 +54,7 @@
         });
 
         it("guards against an entry that learns too late that the endpoint drains", async () => {
-            const deployment = new EmulatedDeployment({
-                entries: ENTRIES,
-                agents: 1,
-                seed: 1,
-                cpu: 64_000,
-                taskCpu: TASK_CPU,
-                work: () => ({ ms: 60, how: "done" }),
-            });
+            const deployment = deploy(ENTRIES, () => 60);
             await deployment.advance(500);
             for (let job = 0; job < BEFORE_DRAIN; job += 1) {
                 void deployment.submit(0, job.toString(16).padStart(16, "a"), 1, 60);
@@ -76,14 +74,7 @@
 
     describe("the tasks of one order", () => {
         it("guards against a task that is done and lost to its entry while another of its order goes on", async () => {
-            const deployment = new EmulatedDeployment({
-                entries: 1,
-                agents: 1,
-                seed: 1,
-                cpu: 64_000,
-                taskCpu: TASK_CPU,
-                work: task => ({ ms: task.endsWith(".0") ? 50 : 1000, how: "done" }),
-            });
+            const deployment = deploy(1, task => task.endsWith(".0") ? 50 : 1000);
             const ended: string[] = [];
             await deployment.advance(ATTACH_MS);
             deployment.links[0]?.atEntry.onMessage(message => {
--- a/src/agent/leased/Runs.test.ts
+++ b/src/agent/leased/Runs.test.ts
@@ -6,17 +6,15 @@
 
 const TASK_CPU = 6000;
 const ID = "00000000000000aa";
+const SETUP = { entries: 1, seed: 1, cpu: 64_000, taskCpu: TASK_CPU } as const;
 
 describe("Runs", () => {
     describe("a start whose answer is lost", () => {
         it("guards against giving a restarted task to another endpoint while its second run goes on", async () => {
             let starts = 0;
             const deployment = new EmulatedDeployment({
-                entries: 1,
+                ...SETUP,
                 agents: 2,
-                seed: 1,
-                cpu: 64_000,
-                taskCpu: TASK_CPU,
                 work: () => ({ ms: 300, how: "done" }),
                 fate: call => {
                     starts += call === "start" ? 1 : 0;
@@ -34,11 +32,8 @@
             let looks = 0;
             let starts = 0;
             const deployment = new EmulatedDeployment({
-                entries: 1,
+                ...SETUP,
                 agents: 2,
-                seed: 1,
-                cpu: 64_000,
-                taskCpu: TASK_CPU,
                 work: () => ({ ms: 300, how: "done" }),
                 fate: call => {
                     starts += call === "start" ? 1 : 0;
@@ -63,11 +58,8 @@
         for (const bornMs of [0, 2]) {
             it(`guards against a life that is not used before its heartbeat, or never, born at ${bornMs}`, async () => {
                 const deployment = new EmulatedDeployment({
-                    entries: 1,
+                    ...SETUP,
                     agents: 1,
-                    seed: 1,
-                    cpu: 64_000,
-                    taskCpu: TASK_CPU,
                     work: () => ({ ms: 100, how: "done" }),
                 });
                 await deployment.advance(500);
@@ -87,11 +79,8 @@
         it("guards against a run of seconds ago beside the run that replaced it", async () => {
             let starts = 0;
             const deployment = new EmulatedDeployment({
-                entries: 1,
+                ...SETUP,
                 agents: 2,
-                seed: 1,
-                cpu: 64_000,
-                taskCpu: TASK_CPU,
                 work: () => ({ ms: 3000, how: "done" }),
                 fate: call => {
                     starts += call === "start" ? 1 : 0;
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -16,6 +16,8 @@
 import type { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
 import { findRefusal } from "./findRefusal.js";
+import { frontOfQueue } from "./frontOfQueue.js";
+import { isReady } from "./isReady.js";
 import type { JobOrdering } from "./JobOrdering.js";
 import type { JobOutcome } from "./JobOutcome.js";
 import { JobTable } from "./JobTable.js";
@@ -24,9 +26,11 @@
 import type { LeasedTask } from "./LeasedTask.js";
 import { newJob } from "./newJob.js";
 import type { Patience } from "./Patience.js";
+import { pickRetryAfter } from "./pickRetryAfter.js";
 import { placedTasks } from "./placedTasks.js";
 import { TaskPlacer } from "./TaskPlacer.js";
 import { TaskState } from "./TaskState.js";
+import { unblockTasks } from "./unblockTasks.js";
 
 /** How often waiting jobs are looked at while nothing else happens. */
 const TICK_MS = 10;
@@ -37,13 +41,6 @@
 /** Time from a report of free room to the next pass over the waiting jobs, so that one pass answers several reports. */
 const PASS_SPACING_MS = 3;
 
-/** Jobs at the front of the queue for which room is sought in one pass. */
-const MAX_SCANNED_JOBS = 64;
-
-/** Times to tell refused callers to stay away, in milliseconds; each gets one between, so that they return spread out. */
-const MIN_RETRY_AFTER_MS = 1000;
-const MAX_RETRY_AFTER_MS = 3000;
-
 /** Task that owns the jobs of an entry: their queue, placement, retries and answers. */
 export class Dispatcher implements Disposable {
     private readonly jobs = new JobTable();
@@ -194,18 +191,8 @@
             this.answer(job, { kind: "completed" });
             return;
         }
-        this.unblock(job);
-    }
-
-    /** Readies the steps whose earlier steps are all done. */
-    private unblock(job: LeasedJob): void {
-        const open = new Set(job.tasks.filter(task => task.state !== TaskState.Done).map(task => task.step));
-        for (const task of job.tasks) {
-            const after = job.order.steps[task.step]?.after ?? [];
-            if (task.state === TaskState.Blocked && !after.some(step => open.has(step))) {
-                task.state = TaskState.Ready;
-                this.passes.within(0);
-            }
+        if (unblockTasks(job)) {
+            this.passes.within(0);
         }
     }
 
@@ -289,12 +276,7 @@
         const now = this.clock.now();
         this.endOverdue(now);
         const ready = this.jobs.all.filter(isReady);
-        const ordered = ready
-            .map(job => ({ job, key: this.ordering.key(job, now) }))
-            .sort((a, b) => a.key - b.key)
-            .slice(0, MAX_SCANNED_JOBS)
-            .map(({ job }) => job);
-        this.placer.place(ordered, now);
+        this.placer.place(frontOfQueue(ready, this.ordering, now), now);
         this.waiting = ready.length === 0 ? 0 : ready.filter(isReady).length;
         if (this.jobs.size > 0) {
             this.passes.within(this.waiting > 0 ? TICK_MS : IDLE_TICK_MS);
@@ -311,11 +293,6 @@
     }
 
     private refuse(job: LeasedJob, verdict: Verdict, reason: string): void {
-        const retryAfterMs = MIN_RETRY_AFTER_MS + this.random.next() * (MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS);
-        this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: Math.round(retryAfterMs) });
+        this.answer(job, { kind: "refused", verdict, reason, retryAfterMs: pickRetryAfter(this.random) });
     }
 }
-
-function isReady(job: LeasedJob): boolean {
-    return job.tasks.some(task => task.state === TaskState.Ready);
-}
