Log why a task is started again and whether the look before was answered

New lines: 8017 the first look of a row without a list, with its outcome; 8018 a stop of an unconfirmed run was taken, whether the list asked for after it came, how long both took, and the runs of the task in it; 8019 a second start with its evidence. EndpointSession.lookNow returns the list for that. The decisions are unchanged, except that the look after an answer of a new life follows at once instead of after 10 ms.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -147,9 +147,9 @@
         }
     }
 
-    /** Looks at the run list at once, beside the waiting look. */
-    public async lookNow(): Promise<void> {
-        await this.look(0);
+    /** Looks at the run list at once, beside the waiting look; undefined when the known life did not answer with one. */
+    public lookNow(): Promise<RunList | undefined> {
+        return this.look(0);
     }
 
     /** Says that the endpoint has left; nothing runs there any more. */
@@ -203,7 +203,9 @@
 
     private async lookLoop(): Promise<void> {
         while (!this.disposed && this.current !== undefined) {
-            const pauseMs = await this.look(LOOK_WAIT_MS);
+            const sentAt = this.clock.now();
+            const list = await this.look(LOOK_WAIT_MS);
+            const pauseMs = list === undefined ? this.retryMs() - (this.clock.now() - sentAt) : pauseAfter(list);
             if (pauseMs > 0) {
                 await this.pause(pauseMs);
             }
@@ -211,11 +213,11 @@
         this.looking = false;
     }
 
-    /** Looks once; returns the pause before the next look in milliseconds. */
-    private async look(waitMs: number): Promise<number> {
+    /** Looks once; returns the list of the known life, undefined when there was no answer or another life gave it. */
+    private async look(waitMs: number): Promise<RunList | undefined> {
         const report = this.current;
         if (report === undefined) {
-            return FIRST_RETRY_MS;
+            return undefined;
         }
         this.renewals.fire(undefined);
         const sentAt = this.clock.now();
@@ -232,30 +234,30 @@
             timeoutMs: waitMs + LOOK_SLACK_MS,
         });
         if (this.current === undefined || !isSameLife(this.current, report)) {
-            return 0;
+            return undefined;
         }
         const bornMs = answer.list?.bornMs ?? report.life.bornMs;
         if (bornMs !== report.life.bornMs && this.recalled) {
             // Another life may be of another size; its heartbeat says of which.
             this.leave();
-            return 0;
+            return undefined;
         }
         if (bornMs !== report.life.bornMs) {
             this.meet(bornMs, report);
-            return COLLECT_MS;
+            return undefined;
         }
         this.time.observe(answer.clockMs);
         if (answer.outcome === LookOutcome.Listed && answer.list !== undefined) {
             this.take({ list: answer.list, sentAt });
-            return answer.list.finished.length > 0 ? COLLECT_MS : 0;
+            return answer.list;
         }
         this.miss(answer.outcome, fence);
-        return Math.max(0, this.retryMs() - (this.clock.now() - sentAt));
+        return undefined;
     }
 
-    /** Time from the start of a missed look to the next one. */
+    /** Time from the start of a missed look to the next one; none after an answer of another life. */
     private retryMs(): number {
-        return Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.misses - 1));
+        return this.misses === 0 ? 0 : Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.misses - 1));
     }
 
     private take(observation: Observation): void {
@@ -274,6 +276,9 @@
 
     private miss(outcome: LookOutcome, fence: number): void {
         this.misses += 1;
+        if (this.misses === 1) {
+            this.log.write(LeaseEvent.LookMissed, { endpoint: this.current?.life.id, outcome });
+        }
         if (outcome === LookOutcome.Fenced) {
             this.raiseFence(fence);
             return;
@@ -297,3 +302,8 @@
         });
     }
 }
+
+/** Ends that come together are collected by one more look. */
+function pauseAfter(list: RunList): number {
+    return list.finished.length > 0 ? COLLECT_MS : 0;
+}
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -101,12 +101,16 @@
         this.sendStop(run);
     }
 
-    /** Starts the task under the next run number, or gives it back when its time or its starts are used up. */
-    public startAgain(run: OrderedRun): void {
+    /**
+     * Starts the task under the next run number, or gives it back when its time or its starts are used up. `evidence` says
+     * why no earlier run is there.
+     */
+    public startAgain(run: OrderedRun, evidence: string): void {
         if (run.abortReason !== undefined || run.starts >= MAX_STARTS || !this.inWindow(run)) {
             this.owner.finish(run, RunResult.NotStarted, run.abortReason ?? "start not confirmed in time");
             return;
         }
+        this.log.write(LeaseEvent.StartRepeated, { task: run.task, run: run.run, starts: run.starts, evidence });
         run.run += 1;
         run.startedAt = undefined;
         run.restart = false;
@@ -156,11 +160,11 @@
                 this.owner.block();
             })
             .with(StartOutcome.Old, () => {
-                this.startAgain(run);
+                this.startAgain(run, outcome);
             })
             .with(StartOutcome.Fenced, () => {
                 this.session.raiseFence(fence);
-                this.startAgain(run);
+                this.startAgain(run, outcome);
             })
             .with(StartOutcome.Unhealthy, () => {
                 this.owner.finish(run, RunResult.Refused, outcome);
@@ -187,17 +191,27 @@
     }
 
     private async callStop(run: OrderedRun, number: number): Promise<void> {
+        const sentAt = this.clock.now();
         const outcome = await this.callStopOf(run.task, number);
         if (outcome !== StopOutcome.Taken || !this.stopsUnconfirmed(run, number)) {
             return;
         }
         // From now on the start cannot take effect; the list shows whether it did before.
-        await this.session.lookNow();
+        const takenAt = this.clock.now();
+        const list = await this.session.lookNow();
+        this.log.write(LeaseEvent.StopSettled, {
+            task: run.task,
+            run: number,
+            stopMs: Math.round(takenAt - sentAt),
+            lookMs: Math.round(this.clock.now() - takenAt),
+            answered: list !== undefined,
+            running: list?.running.filter(({ task }) => task === run.task).map(({ run: listed }) => listed),
+        });
         if (!this.stopsUnconfirmed(run, number)) {
             return;
         }
         if (run.restart) {
-            this.startAgain(run);
+            this.startAgain(run, "stop taken");
         }
         else {
             this.owner.finish(run, RunResult.NotStarted, run.abortReason ?? "stopped before its start was confirmed");
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -225,7 +225,7 @@
 
     private takeFinished(run: OrderedRun, finished: FinishedRun): void {
         if (run.restart && finished.result === RunResult.Stopped) {
-            this.calls.startAgain(run);
+            this.calls.startAgain(run, `end listed: ${finished.reason}`);
         }
         else {
             this.finish(run, finished.result, finished.reason);
