Start a task again only after a list that shows no run of it

Callers saw a task run twice at one endpoint: run 6 began while run 5 was still being stopped.

Cause: after a stop was taken, RunCalls.callStop waited for a look and went on whether or not it was answered. A look that is broken off returns after a round trip, while a stop takes up to 50 ms. Both branches concluded that the run was over: the second start by the agent, and the end "not started", after which the entry places the task again anywhere. A start that was rejected as old, or for its fence, started the task again without any look, although the run that made it old may still be stopping.

Change: a run is settled only by a list that was asked for after the endpoint had said that the run cannot begin any more, that was given by the same life, and that shows no run of the task under any number. Starts rejected as old or fenced take the same way.

Ruled out as the only cause: the first look of settleStart, which is always followed by a stop.

--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -3,7 +3,9 @@
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import { RunResult } from "../../common/leased/RunResult.js";
 import type { Log } from "../../common/log/Log.js";
+import type { EndpointReport } from "./EndpointReport.js";
 import type { EndpointSession } from "./EndpointSession.js";
+import { isSameLife } from "./isSameLife.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
 import { RunPhase } from "./RunPhase.js";
@@ -160,11 +162,11 @@
                 this.owner.block();
             })
             .with(StartOutcome.Old, () => {
-                this.startAgain(run, outcome);
+                void this.settleRejected(run);
             })
             .with(StartOutcome.Fenced, () => {
                 this.session.raiseFence(fence);
-                this.startAgain(run, outcome);
+                void this.settleRejected(run);
             })
             .with(StartOutcome.Unhealthy, () => {
                 this.owner.finish(run, RunResult.Refused, outcome);
@@ -190,28 +192,45 @@
         this.sendStop(run);
     }
 
+    /** An earlier run, which made the number or the fence old, may still be there: a list has to show that it is over. */
+    private async settleRejected(run: OrderedRun): Promise<void> {
+        run.restart = run.abortReason === undefined;
+        run.phase = RunPhase.Stopping;
+        run.stopDueAt = this.clock.now() + STOP_REPEAT_MS;
+        this.owner.watch();
+        await this.settleByList(run, run.run, this.session.report);
+    }
+
     private async callStop(run: OrderedRun, number: number): Promise<void> {
-        const sentAt = this.clock.now();
+        const report = this.session.report;
         const outcome = await this.callStopOf(run.task, number);
-        if (outcome !== StopOutcome.Taken || !this.stopsUnconfirmed(run, number)) {
-            return;
+        if (outcome === StopOutcome.Taken && this.stopsUnconfirmed(run, number)) {
+            await this.settleByList(run, number, report);
         }
-        // From now on the start cannot take effect; the list shows whether it did before.
-        const takenAt = this.clock.now();
+    }
+
+    /**
+     * Settles a run of which the life of `before` has said that it cannot begin any more: a list of the same life that was
+     * asked for after that shows whether it has begun before. Without such a list the next stop settles it.
+     */
+    private async settleByList(run: OrderedRun, number: number, before: EndpointReport | undefined): Promise<void> {
+        const sentAt = this.clock.now();
         const list = await this.session.lookNow();
+        const listed = list?.running.filter(({ task }) => task === run.task);
         this.log.write(LeaseEvent.StopSettled, {
             task: run.task,
             run: number,
-            stopMs: Math.round(takenAt - sentAt),
-            lookMs: Math.round(this.clock.now() - takenAt),
+            lookMs: Math.round(this.clock.now() - sentAt),
             answered: list !== undefined,
-            running: list?.running.filter(({ task }) => task === run.task).map(({ run: listed }) => listed),
+            listed: listed?.map(other => other.run),
         });
-        if (!this.stopsUnconfirmed(run, number)) {
+        const { report } = this.session;
+        const sameLife = before !== undefined && report !== undefined && isSameLife(before, report);
+        if (listed?.length !== 0 || !sameLife || !this.stopsUnconfirmed(run, number)) {
             return;
         }
         if (run.restart) {
-            this.startAgain(run, "stop taken");
+            this.startAgain(run, "no run listed");
         }
         else {
             this.owner.finish(run, RunResult.NotStarted, run.abortReason ?? "stopped before its start was confirmed");
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -10,12 +10,12 @@
 import type { Log } from "../../common/log/Log.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import type { EndpointSession } from "./EndpointSession.js";
-import type { FinishedRun } from "./FinishedRun.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
 import { RunCalls } from "./RunCalls.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
+import { RunReconciler } from "./RunReconciler.js";
 import { RunTable } from "./RunTable.js";
 import { SlownessEstimate } from "./SlownessEstimate.js";
 import { StallDetector } from "./StallDetector.js";
@@ -47,6 +47,7 @@
     private readonly table = new RunTable();
     private readonly slowness = new SlownessEstimate();
     private readonly calls: RunCalls;
+    private readonly reconciler: RunReconciler;
     private readonly stalls: StallDetector;
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
@@ -72,6 +73,7 @@
             watch: () => this.ticks.within(TICK_MS),
         };
         this.calls = new RunCalls(session, this.table, owner, clock, log);
+        this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
         session.onList(({ list, sentAt }) => {
             this.takeList(list, sentAt);
         });
@@ -204,47 +206,10 @@
 
     private takeList(list: RunList, sentAt: number): void {
         this.blocked = false;
-        for (const finished of list.finished) {
-            const run = this.table.get(finished.task);
-            if (run !== undefined && run.run === finished.run && run.phase !== RunPhase.Waiting) {
-                this.takeFinished(run, finished);
-            }
-        }
-        const running = new Map(list.running.map(({ task, run }) => [task, run]));
-        for (const [task, number] of running) {
-            this.takeRunning(task, number);
-        }
-        for (const run of this.table.all) {
-            const confirmed = run.startedAt !== undefined && run.startedAt < sentAt;
-            if (confirmed && !running.has(run.task)) {
-                this.finish(run, RunResult.Stopped, "no longer listed");
-            }
-        }
+        this.reconciler.take(list, sentAt);
         this.startWaiting();
     }
 
-    private takeFinished(run: OrderedRun, finished: FinishedRun): void {
-        if (run.restart && finished.result === RunResult.Stopped) {
-            this.calls.startAgain(run, `end listed: ${finished.reason}`);
-        }
-        else {
-            this.finish(run, finished.result, finished.reason);
-        }
-    }
-
-    private takeRunning(task: string, number: number): void {
-        const run = this.table.get(task);
-        if (run === undefined) {
-            this.calls.stopStranger(task, number);
-        }
-        else if (run.phase === RunPhase.Starting && run.run === number) {
-            this.calls.markRunning(run);
-        }
-        else if (run.phase === RunPhase.Stopping && run.run === number) {
-            run.startedAt ??= this.clock.now();
-        }
-    }
-
     /** Ends all runs. Those that may have been started in the life that has replaced theirs are ruled out there first. */
     private endAll(reason: string, replaced: boolean): void {
         this.slowness.reset();
