Give a second order back only when the run in its way is over

Callers could get a task run at two endpoints at once.

Cause: when a job is submitted again at another entry while a run of the first entry is still there, the agent stopped that run and gave the new order back in the same moment. The new entry placed the task at another endpoint while the stop, which takes up to 50 ms, was under way. The first entry, told that its run was stopped, placed the task again as well.

Evidence: the new test of Runs fails before this change: run 1 at endpoint-0 until 652 ms beside run 1 at endpoint-1 of the other entry. With the order held back but the first entry still placing again, it shows run 2 at both from 657 ms.

Change: the second order is given back once the run is over, with its number. The end that the first entry hears is "superseded", and it refuses its job as "may have run", which also stops the other tasks of the job.

Weighed: starting the second order here after the end. It would bind the task to this endpoint although others may have room.

--- a/src/agent/leased/OrderedRun.ts
+++ b/src/agent/leased/OrderedRun.ts
@@ -27,4 +27,6 @@
     stopDueAt: number;
     /** Restart after the stop of an unanswered start is confirmed. */
     restart: boolean;
+    /** Entries whose order of the same task was refused because of this run. */
+    readonly refusedOwners: Set<string>;
 }
--- a/src/agent/leased/Runs.test.ts
+++ b/src/agent/leased/Runs.test.ts
@@ -54,6 +54,28 @@
         });
     });
 
+    describe("a job submitted again at another entry", () => {
+        // The other entry hears that its order was refused while the run that stands in its way is still being stopped.
+        it("guards against a run at another endpoint beside the run that is being stopped", async () => {
+            const deployment = new EmulatedDeployment({
+                ...SETUP,
+                entries: 2,
+                agents: 2,
+                work: () => ({ ms: 1000, how: "done" }),
+            });
+            deployment.announce(1, 1, 2, true);
+            await deployment.advance(500);
+            const former = deployment.submit(0, ID, 1, 1000);
+            await deployment.advance(100);
+            const outcome = deployment.submit(1, ID, 1, 1000);
+            deployment.announce(1, 1, 3);
+            await deployment.advance(1300);
+            assert.equal((await outcome).kind, "completed");
+            assert.equal((await former).kind, "refused");
+            assert.equal(findOverlap(deployment.records), undefined);
+        });
+    });
+
     describe("an endpoint that starts again under its id", () => {
         for (const bornMs of [0, 2]) {
             it(`guards against a life that is not used before its heartbeat, or never, born at ${bornMs}`, async () => {
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -142,7 +142,7 @@
     private orderTask(owner: string, order: MessageOf<"run">, task: string, run: number): void {
         const known = this.table.get(task);
         if (known !== undefined) {
-            this.refuseSecond(known, owner, task, run);
+            this.refuseSecond(known, owner);
             return;
         }
         this.table.add({
@@ -161,17 +161,19 @@
             abortReason: undefined,
             stopDueAt: 0,
             restart: false,
+            refusedOwners: new Set(),
         });
     }
 
-    /** The caller lost the other entry, or it would not have submitted again: the older run is of no use to anyone. */
-    private refuseSecond(known: OrderedRun, owner: string, task: string, run: number): void {
-        if (known.owner === owner) {
-            return;
+    /**
+     * The caller lost the other entry, or it would not have submitted again: the older run is of no use to anyone. The new order
+     * is given back once that run is over, because its entry may place the task elsewhere at once.
+     */
+    private refuseSecond(known: OrderedRun, owner: string): void {
+        if (known.owner !== owner) {
+            known.refusedOwners.add(owner);
+            this.calls.stop(known, "submitted again at another entry");
         }
-        this.calls.stop(known, "submitted again at another entry");
-        const reason = "a run of another entry is being stopped";
-        this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason }, more: false });
     }
 
     /** Starts waiting orders, first come first served, as long as they fit. */
@@ -232,14 +234,26 @@
             this.stalls.ended(run, this.slowness.value);
             this.slowness.observe(ranMs, run.estimateMs);
         }
-        const end = { task: run.task, run: run.run, result, ranMs, reason: run.abortReason ?? reason };
+        const { task, run: number, refusedOwners } = run;
+        const superseded = refusedOwners.size > 0 && result !== RunResult.Done;
+        const told = superseded ? RunResult.Superseded : result;
+        const end = { task, run: number, result: told, ranMs, reason: run.abortReason ?? reason };
         const waitedMs = Math.round((run.startedAt ?? this.clock.now()) - run.orderedAt);
         this.log.write(LeaseEvent.RunEnded, { ...end, waitedMs, owner: run.owner, starts: run.starts });
         const more = this.table.all.some(other => other.owner === run.owner && other.order === run.order);
         this.ends.fire({ owner: run.owner, end, more });
+        this.tellRefused(run);
         this.changes.fire(undefined);
     }
 
+    /** Gives the orders back that were refused because of this run. */
+    private tellRefused({ task, run, refusedOwners }: OrderedRun): void {
+        const reason = "a run of another entry was stopped";
+        for (const owner of refusedOwners) {
+            this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason }, more: false });
+        }
+    }
+
     /** Gives back orders whose time has passed, stops stalled runs, and repeats stops. */
     private tick(): void {
         const wanted = this.table.all.filter(run => run.phase === RunPhase.Running);
--- a/src/common/leased/RunResult.ts
+++ b/src/common/leased/RunResult.ts
@@ -7,6 +7,8 @@
     Stopped: "stopped",
     /** Never began and never will. */
     NotStarted: "not_started",
+    /** Stopped, because another entry has ordered the same task: the job was submitted again there. */
+    Superseded: "superseded",
     /** Never began: the endpoint refuses work. */
     Refused: "refused",
 } as const;
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -182,6 +182,7 @@
             .with(RunResult.Stopped, RunResult.NotStarted, () => {
                 this.giveBack(job, task, end);
             })
+            .with(RunResult.Superseded, () => this.refuse(job, Verdict.MayHaveRun, "submitted again at another entry"))
             .exhaustive();
     }
 
