Bound the lease of an endpoint by runs that nobody wants

Cause: each look renewed the lease of everything at the endpoint, also of a run whose tenure had passed and whose stop was not confirmed. Such a run had neither a stop nor a lease that ended it, so the 1300 ms did not hold.

The time since when nobody wants a run (the abort, the loss of its entry, or the end of its tenure if that came before) bounds the lease until the end of the run is known: looks and starts renew it for 680 ms from then, as if the agent had stood still at that moment. The sum of tenure and lease therefore covers both cases. An endpoint whose lease is about to end for that reason takes no more orders. Runs of other callers lapse only where a stop is not confirmed in 680 ms; each stop has its own bound, so callers that leave one after the other cost the others nothing, which a test shows.

Ruled out: no renewal at all while any stop is unconfirmed (overlapping stops of callers that leave all the time would end the lease of a sound endpoint); a lease up to the smallest tenure at the endpoint (one late entry would end the runs of all others); refusing the second order at entries or agents (the second submission reaches other entries and other endpoints, which know nothing of the first).

The model finds the fault as RENEW_WHILE_STOPPING. Not shown: that the play of the issue had this cause; its two runs were at one endpoint.

--- a/scripts/checkModel.mjs
+++ b/scripts/checkModel.mjs
@@ -54,7 +54,7 @@
     {
         name: "lease",
         variants: [[]],
-        faults: [["LONG_LEASE"], ["NO_TENURE"], ["NO_START_WINDOW"], ["RENEW_BEFORE_CHECK"]],
+        faults: [["LONG_LEASE"], ["NO_TENURE"], ["NO_START_WINDOW"], ["RENEW_BEFORE_CHECK"], ["RENEW_WHILE_STOPPING"]],
     },
 ];
 
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -2,7 +2,8 @@
  * Leases of runs at an endpoint: an entry loses its caller, who submits again at another entry after RESUBMIT; by then no
  * run of the first entry may be left. One task, its first run at the endpoint of agent 0, its second anywhere else.
  * Time passes in steps of 100 ms. At each step anything may happen or not: an order may take effect late, a tenure may be
- * lost, the entry may be cut off for good (it is then lost to its caller as well), and the agent may stand still and wake.
+ * lost, the entry may be cut off for good (it is then lost to its caller as well), the agent may stand still and wake, and
+ * the endpoint may hold stops back.
  */
 #define INTERVAL 2 /* renewal of the tenure: 200 ms */
 #define TENURE 6 /* 600 ms */
@@ -42,11 +43,26 @@
     MAYBE((lostAt == 0 && now % INTERVAL == 0), tenureUntil = now + TENURE);
 }
 
-/* A look: tenures are checked before the lease of everything is renewed. */
+/* Stops the run of a tenure that has passed. */
+inline stop() {
+    MAYBE(true, firstRun = false);
+    began = true
+}
+
+/*
+ * A look: tenures are checked before the lease of everything is renewed, and a run whose stop is not confirmed bounds the
+ * lease as if it had been renewed for the last time when its tenure passed.
+ */
 inline look() {
     if
 #ifndef NO_TENURE
-    :: agentUp && now >= tenureUntil -> firstRun = false; began = true
+    :: agentUp && now >= tenureUntil ->
+        stop();
+#ifdef RENEW_WHILE_STOPPING
+        leaseUntil = now + LEASE
+#else
+        MAYBE(firstRun, leaseUntil = tenureUntil + LEASE)
+#endif
 #endif
     :: agentUp && now < tenureUntil -> leaseUntil = now + LEASE
 #if defined(RENEW_BEFORE_CHECK) || defined(NO_TENURE)
@@ -66,7 +82,7 @@
     MAYBE(true, agentUp = !agentUp);
 #ifndef NO_TENURE
     if
-    :: agentUp && now >= tenureUntil && firstRun -> firstRun = false
+    :: agentUp && now >= tenureUntil && firstRun -> stop()
     :: else
     fi;
 #endif
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -71,6 +71,7 @@
     /** Whether the report is of an earlier process and neither a heartbeat nor an answer has confirmed it. */
     private recalled = false;
     private disposed = false;
+    private limit = (): number => Number.POSITIVE_INFINITY;
 
     /** Fires with each run list. */
     public readonly onList = this.lists.event;
@@ -99,7 +100,13 @@
 
     /** Whether the endpoint answered lately and can be given work. */
     public get alive(): boolean {
-        return !this.gone && this.clock.now() - this.answeredAt < LOOK_WAIT_MS + 2 * LOOK_SLACK_MS;
+        const answers = this.clock.now() - this.answeredAt < LOOK_WAIT_MS + 2 * LOOK_SLACK_MS;
+        return !this.gone && answers && this.leaseLimitMs > (this.time.now() ?? 0) + LEASE_TIMES.START_WINDOW_MS;
+    }
+
+    /** Time on the endpoint's clock beyond which the lease is not renewed, because a run is there that nobody wants. */
+    public get leaseLimitMs(): number {
+        return this.limit();
     }
 
     /** Endpoint's clock in milliseconds; undefined before its first answer. */
@@ -107,6 +114,11 @@
         return this.time.now();
     }
 
+    /** Sets what bounds the lease. */
+    public limitLease(limit: () => number): void {
+        this.limit = limit;
+    }
+
     /** Tries the endpoint of an earlier process, unless a heartbeat has named one. */
     public recall(report: EndpointReport): void {
         if (this.current === undefined) {
@@ -221,7 +233,7 @@
         const sentAt = this.clock.now();
         const fence = this.fenceNumber;
         const clockMs = this.time.now();
-        const untilMs = clockMs === undefined ? undefined : clockMs + LEASE_TIMES.LEASE_MS;
+        const untilMs = clockMs === undefined ? undefined : Math.min(clockMs + LEASE_TIMES.LEASE_MS, this.leaseLimitMs);
         this.renewedAt = untilMs === undefined ? this.renewedAt : sentAt;
         const answer = await this.control.look({
             endpoint: report.life.id,
--- /dev/null
+++ b/src/agent/leased/EntryLink.test.ts
@@ -0,0 +1,78 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CallFate } from "../../emulator/CallFate.js";
+import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import { findOverlap } from "../../emulator/findOverlap.js";
+
+const TASK_CPU = 6000;
+const ID = "00000000000000aa";
+
+/** A caller that lost its entry submits again after this time. */
+const RESUBMIT_MS = 1300;
+
+/** Stops before this time take effect seconds later. */
+const HELD_BACK_MS = 3000;
+
+/** Times of the loss after the submission, spread over the interval of renewals. */
+const LOSSES_MS = [300, 350, 400, 450];
+
+/** Callers that leave one after the other, for 2 s, so that a stop is always on its way. */
+const LEAVING = 50;
+
+describe("EntryLink", () => {
+    describe("an entry that is lost while its endpoint holds stops back and answers looks", () => {
+        for (const lossMs of LOSSES_MS) {
+            it(`guards against its run beside that of the caller's second submission, lost after ${lossMs} ms`, async () => {
+                const caller = new AbortController();
+                const deployment: EmulatedDeployment = new EmulatedDeployment({
+                    entries: 2,
+                    agents: 2,
+                    seed: 1,
+                    cpu: TASK_CPU,
+                    taskCpu: TASK_CPU,
+                    work: () => ({ ms: 3000, how: "done" }),
+                    fate: call => {
+                        const held = call === "stop" && deployment.clock.now() < HELD_BACK_MS;
+                        return held ? CallFate.Late : CallFate.Answered;
+                    },
+                });
+                await deployment.advance(500);
+                void deployment.submit(0, ID, 1, 3000, caller.signal, 5000);
+                await deployment.advance(lossMs);
+                deployment.endpoints.forEach((_, agent) => deployment.silence(0, agent, "both"));
+                caller.abort();
+                await deployment.advance(RESUBMIT_MS);
+                void deployment.submit(1, ID, 1, 3000, undefined, 5000);
+                await deployment.advance(1000);
+                assert.equal(findOverlap(deployment.records), undefined);
+                assert.equal(deployment.records.length, 2);
+            });
+        }
+    });
+
+    describe("callers that leave all the time", () => {
+        it("guards against runs of other callers that lapse although each stop is confirmed", async () => {
+            const deployment = new EmulatedDeployment({
+                entries: 1,
+                agents: 1,
+                seed: 1,
+                cpu: 10 * TASK_CPU,
+                taskCpu: TASK_CPU,
+                work: () => ({ ms: 3000, how: "done" }),
+            });
+            await deployment.advance(500);
+            const outcome = deployment.submit(0, ID, 1, 3000, undefined, 5000);
+            for (let job = 0; job < LEAVING; job += 1) {
+                const caller = new AbortController();
+                void deployment.submit(0, job.toString(16).padStart(16, "0"), 1, 3000, caller.signal, 5000);
+                await deployment.advance(20);
+                caller.abort();
+                await deployment.advance(20);
+            }
+            await deployment.advance(1500);
+            assert.equal((await outcome).kind, "completed");
+            assert.equal(deployment.records.length, 1 + LEAVING);
+            assert.deepEqual(deployment.records.filter(record => record.how === "lapsed"), []);
+        });
+    });
+});
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -86,7 +86,7 @@
     }
 
     public takeAbort(message: MessageOf<"abort">): void {
-        this.runs.abort(this.owner, message.tasks, message.reason);
+        this.runs.abort(this.owner, message.tasks, message.reason, this.lostMs);
     }
 
     /** Stops the entry's runs once its tenure has lapsed, and gives its connection up once it is silent. */
@@ -99,22 +99,31 @@
 
     public dispose(): void {
         this.listeners.dispose();
+        this.runs.abortOwner(this.owner, "connection to the entry lost", this.lostMs);
         this.tenured = false;
-        this.runs.abortOwner(this.owner, "connection to the entry lost");
+    }
+
+    /**
+     * Time on the endpoint's clock at which runs that end now were last wanted: an agent that was held up notices only
+     * after the tenure that they have ended.
+     */
+    private get lostMs(): number | undefined {
+        const clockMs = this.session.clockMs;
+        return clockMs !== undefined && this.tenured ? Math.min(clockMs, this.untilMs) : clockMs;
     }
 
     private checkTenure(): void {
         const clockMs = this.session.clockMs;
         if (this.tenured && (clockMs === undefined || clockMs >= this.untilMs)) {
-            this.tenured = false;
             this.abortRuns(clockMs);
+            this.tenured = false;
         }
     }
 
     private abortRuns(clockMs: number | undefined): void {
         if (this.runs.has(this.owner)) {
             this.log.write(LeaseEvent.TenureLapsed, { owner: this.owner, untilMs: this.untilMs, clockMs });
-            this.runs.abortOwner(this.owner, "tenure lapsed");
+            this.runs.abortOwner(this.owner, "tenure lapsed", this.lostMs);
         }
     }
 }
--- a/src/agent/leased/OrderedRun.ts
+++ b/src/agent/leased/OrderedRun.ts
@@ -23,6 +23,8 @@
     startedAt: number | undefined;
     /** Why the run is to be stopped; undefined while it is wanted. */
     abortReason: string | undefined;
+    /** Time on the endpoint's clock beyond which no lease is renewed while this run may be there; infinite while it is wanted. */
+    leaseLimitMs: number;
     /** When the next stop is due, while the phase is `stopping`. */
     stopDueAt: number;
     /** Restart after the stop of an unanswered start is confirmed. */
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -68,7 +68,7 @@
             task: run.task,
             run: number,
             spec: run.spec,
-            untilMs: run.startBeforeMs,
+            untilMs: Math.min(run.startBeforeMs, this.session.leaseLimitMs),
             timeoutMs: this.latency.timeoutMs,
         });
         this.session.observe(answer.clockMs);
@@ -97,6 +97,7 @@
         run.abortReason ??= reason;
         run.restart = false;
         run.startedAt = undefined;
+        run.leaseLimitMs = Number.POSITIVE_INFINITY;
         run.phase = RunPhase.Stopping;
         this.sendStop(run);
     }
--- a/src/agent/leased/RunTable.ts
+++ b/src/agent/leased/RunTable.ts
@@ -26,6 +26,11 @@
         return [...this.byTask.values()];
     }
 
+    /** Time on the endpoint's clock beyond which no lease is renewed. */
+    public get leaseLimitMs(): number {
+        return this.all.reduce((limit, run) => Math.min(limit, run.leaseLimitMs), Number.POSITIVE_INFINITY);
+    }
+
     public get size(): number {
         return this.byTask.size;
     }
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -4,6 +4,7 @@
 import { Emitter } from "../../common/Emitter.js";
 import { addResources } from "../../common/leased/addResources.js";
 import { fits } from "../../common/leased/fits.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Resources } from "../../common/leased/Resources.js";
 import type { RunEnd } from "../../common/leased/RunEnd.js";
 import { RunResult } from "../../common/leased/RunResult.js";
@@ -72,6 +73,7 @@
             watch: () => this.ticks.within(TICK_MS),
         };
         this.calls = new RunCalls(session, this.table, owner, clock, log);
+        session.limitLease(() => this.table.leaseLimitMs);
         session.onList(({ list, sentAt }) => {
             this.takeList(list, sentAt);
         });
@@ -114,11 +116,16 @@
         this.changes.fire(undefined);
     }
 
-    /** Stops tasks of `owner`; their ends are told like all others. */
-    public abort(owner: string, tasks: readonly string[], reason: string): void {
+    /**
+     * Stops tasks of `owner`; their ends are told like all others. `lostMs` is the time on the endpoint's clock since when
+     * nobody wants them: where the stop has no effect, the lease ends them.
+     */
+    public abort(owner: string, tasks: readonly string[], reason: string, lostMs = this.session.clockMs): void {
         for (const task of tasks) {
             const run = this.table.get(task);
             if (run !== undefined && run.owner === owner) {
+                const limitMs = (lostMs ?? Number.POSITIVE_INFINITY) + LEASE_TIMES.LEASE_MS;
+                run.leaseLimitMs = Math.min(run.leaseLimitMs, limitMs);
                 this.calls.stop(run, reason);
             }
         }
@@ -126,9 +133,9 @@
     }
 
     /** Stops every run of `owner`. */
-    public abortOwner(owner: string, reason: string): void {
+    public abortOwner(owner: string, reason: string, lostMs?: number): void {
         const tasks = this.table.all.filter(run => run.owner === owner).map(run => run.task);
-        this.abort(owner, tasks, reason);
+        this.abort(owner, tasks, reason, lostMs);
     }
 
     public dispose(): void {
@@ -157,6 +164,7 @@
             starts: 0,
             startedAt: undefined,
             abortReason: undefined,
+            leaseLimitMs: Number.POSITIVE_INFINITY,
             stopDueAt: 0,
             restart: false,
         });
@@ -167,7 +175,7 @@
         if (known.owner === owner) {
             return;
         }
-        this.calls.stop(known, "submitted again at another entry");
+        this.abort(known.owner, [known.task], "submitted again at another entry");
         const reason = "a run of another entry is being stopped";
         this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason }, more: false });
     }
