--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -4,6 +4,7 @@
 import { Emitter } from "../../common/Emitter.js";
 import { addResources } from "../../common/leased/addResources.js";
 import { fits } from "../../common/leased/fits.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Resources } from "../../common/leased/Resources.js";
 import type { RunEnd } from "../../common/leased/RunEnd.js";
 import { RunResult } from "../../common/leased/RunResult.js";
@@ -51,6 +52,8 @@
     private readonly stalls: StallDetector;
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
+    /** Time on the endpoint's clock since when lists show runs that no entry waits for; infinite while they show none. */
+    private strangersMs = Number.POSITIVE_INFINITY;
     private readonly ticks: DueTimer;
 
     /** Fires with each run that is over. */
@@ -74,6 +77,7 @@
         };
         this.calls = new RunCalls(session, this.table, owner, clock, log);
         this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
+        session.limitLease(() => Math.min(this.table.leaseLimitMs, this.strangersMs));
         session.onList(({ list, sentAt }) => {
             this.takeList(list, sentAt);
         });
@@ -116,11 +120,16 @@
         this.changes.fire(undefined);
     }
 
-    /** Stops tasks of `owner`; their ends are told like all others. */
-    public abort(owner: string, tasks: readonly string[], reason: string): void {
+    /**
+     * Stops tasks of `owner`; their ends are told like all others. `lostMs` is the time on the endpoint's clock since when
+     * nobody wants them: where the stop has no effect, the lease ends them.
+     */
+    public abort(owner: string, tasks: readonly string[], reason: string, lostMs = this.session.clockMs): void {
         for (const task of tasks) {
             const run = this.table.get(task);
             if (run !== undefined && run.owner === owner) {
+                const limitMs = (lostMs ?? Number.POSITIVE_INFINITY) + LEASE_TIMES.LEASE_MS;
+                run.leaseLimitMs = Math.min(run.leaseLimitMs, limitMs);
                 this.calls.stop(run, reason);
             }
         }
@@ -128,9 +137,9 @@
     }
 
     /** Stops every run of `owner`. */
-    public abortOwner(owner: string, reason: string): void {
+    public abortOwner(owner: string, reason: string, lostMs?: number): void {
         const tasks = this.table.all.filter(run => run.owner === owner).map(run => run.task);
-        this.abort(owner, tasks, reason);
+        this.abort(owner, tasks, reason, lostMs);
     }
 
     public dispose(): void {
@@ -159,6 +168,7 @@
             starts: 0,
             startedAt: undefined,
             abortReason: undefined,
+            leaseLimitMs: Number.POSITIVE_INFINITY,
             stopDueAt: 0,
             restart: false,
             refusedOwners: new Set(),
@@ -172,7 +182,7 @@
     private refuseSecond(known: OrderedRun, owner: string): void {
         if (known.owner !== owner) {
             known.refusedOwners.add(owner);
-            this.calls.stop(known, "submitted again at another entry");
+            this.abort(known.owner, [known.task], "submitted again at another entry");
         }
     }
 
@@ -209,6 +219,8 @@
     private takeList(list: RunList, sentAt: number): void {
         this.blocked = false;
         this.reconciler.take(list, sentAt);
+        const strange = list.running.some(({ task }) => this.table.get(task) === undefined);
+        this.strangersMs = strange ? Math.min(this.strangersMs, this.session.clockMs ?? 0) : Number.POSITIVE_INFINITY;
         this.startWaiting();
     }
 
@@ -217,6 +229,7 @@
         this.slowness.reset();
         this.stalls.reset();
         this.calls.reset();
+        this.strangersMs = Number.POSITIVE_INFINITY;
         for (const run of this.table.all) {
             const began = run.phase !== RunPhase.Waiting;
             if (replaced && began) {
