--- a/src/entry/leased/EntryLeaseEvent.ts
+++ b/src/entry/leased/EntryLeaseEvent.ts
@@ -10,6 +10,7 @@
     TaskReturned: { number: 8505, level: LogLevel.Info, text: "task came back, to be placed again" },
     CallerLeft: { number: 8506, level: LogLevel.Info, text: "caller left, stopping its job" },
     SubmissionRefused: { number: 8507, level: LogLevel.Info, text: "submission refused" },
+    SubmissionDropped: { number: 8508, level: LogLevel.Info, text: "submission dropped, its caller had left before" },
     AgentAttached: { number: 8510, level: LogLevel.Info, text: "agent attached" },
     AgentLost: { number: 8511, level: LogLevel.Warn, text: "agent lost" },
     AgentEjected: { number: 8512, level: LogLevel.Warn, text: "agent failed its last tasks, none for a while" },
