Read the ends of callers after a standstill before starting tasks

Callers could see two runs of one task (TWICE): an entry that stood still for longer than 1300 ms started tasks again whose callers had left meanwhile and had submitted them elsewhere.

Cause: while the entry stands still its tenures lapse and agents stop its runs. When it goes on, it reads their ends and fresh reports, and the pass that follows 1 ms later places the tasks, with a tenure and a start window that are in force: both are reckoned from the report just read. The end of a caller's connection is read in the same turn of the event loop at best and told in the next, after the pass. Neither the window of 400 ms nor the freshness of 600 ms excludes this: what counts is the newest report that waits in the socket, and an agent sends one each 200 to 400 ms. The job's deadline excludes only callers that waited until their time was over.

Evidence: src/entry/leased/LeasedEntry.test.ts on a clock that can stand still. It makes no difference whether timers run before sockets are read.

Why it works: the entry looks at the clock each 100 ms. After a gap of more than the tenure (600 ms) it places nothing until three looks, 10 ms apart, have passed, so that at least three turns of the event loop have read and told what had arrived. A gap at most as long is harmless: a caller that left in it submits again 700 ms later at the earliest. The pass itself asks for the gap as well, since it may come before the overdue look.

Cost: 30 ms more for the open jobs of an entry that stood still for 600 ms or more; the third test guards against jobs that are not started again afterwards. Weighed against it: to answer all open jobs after a standstill with 504 costs each caller 1300 ms; a bound on the age of a job beyond which nothing is started again costs jobs that waited for room.

Ruled out: a start between the wake-up and the first report (no report is fresh then), and a pass that stood still between its look at the clock and its orders (their window has passed). What remains: standstills that the steady clock does not count, and ends of callers that never arrive, as after a cut. StallingClock moves to src/test and can stand without firing.

--- a/src/entry/leased/AgentChannels.test.ts
+++ b/src/entry/leased/AgentChannels.test.ts
@@ -8,6 +8,7 @@
 import type { Channel } from "../../common/wire/Channel.js";
 import type { Message } from "../../common/wire/Message.js";
 import { Role } from "../../common/wire/Role.js";
+import { StallingClock } from "../../test/StallingClock.js";
 import { AgentChannels } from "./AgentChannels.js";
 
 const LOAD: Message = {
@@ -26,32 +27,6 @@
     tenured: true,
 };
 
-/** Clock of a process that can stand still: timers that became due meanwhile fire late, once it goes on. */
-class StallingClock implements Clock {
-    private time = 0;
-    private timers: { at: number; callback: () => void; }[] = [];
-
-    public now(): number {
-        return this.time;
-    }
-
-    public schedule(delayMs: number, callback: () => void): () => void {
-        const timer = { at: this.time + delayMs, callback };
-        this.timers.push(timer);
-        return () => {
-            this.timers = this.timers.filter(other => other !== timer);
-        };
-    }
-
-    /** Lets time pass in one step. */
-    public pass(ms: number): void {
-        this.time += ms;
-        const due = this.timers.filter(timer => timer.at <= this.time);
-        this.timers = this.timers.filter(timer => timer.at > this.time);
-        due.forEach(timer => timer.callback());
-    }
-}
-
 /** An entry with one attached agent that has reported once. */
 function attachAgent(clock: Clock): { readonly channels: AgentChannels; readonly messages: Emitter<Message>; } {
     const messages = new Emitter<Message>();
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -11,6 +11,7 @@
 import { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
 import { isAlike } from "./isAlike.js";
+import { StandstillDetector } from "./StandstillDetector.js";
 
 interface AgentEnds {
     readonly agent: AgentView;
@@ -26,6 +27,7 @@
     private readonly ends = new Emitter<AgentEnds>();
     private readonly losses = new Emitter<AgentView>();
     private readonly loads = new Emitter<AgentView>();
+    private readonly standstill: StandstillDetector;
     private cancelTenure: (() => void) | undefined;
     private checkedAt = 0;
     private waitsForReports = false;
@@ -44,6 +46,7 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
+        this.standstill = new StandstillDetector(clock);
         routes.onChange(document => {
             log.write(EntryLeaseEvent.RoutesTaken, { version: document.version });
             this.sendAll({ kind: "routes", document });
@@ -51,6 +54,11 @@
         this.renewTenures();
     }
 
+    /** Whether the entry stood still just now and may not have read yet what agents and callers sent meanwhile. */
+    public get unread(): boolean {
+        return this.standstill.unread;
+    }
+
     public get(id: string): AgentView | undefined {
         return this.views.get(id);
     }
@@ -83,6 +91,7 @@
 
     public dispose(): void {
         this.cancelTenure?.();
+        this.standstill.dispose();
         for (const view of [...this.views.values()]) {
             view.channel.close("entry stops");
         }
--- /dev/null
+++ b/src/entry/leased/LeasedEntry.test.ts
@@ -0,0 +1,138 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Route } from "../../common/leased/Route.js";
+import { RoutingTable } from "../../common/leased/RoutingTable.js";
+import type { RunEnd } from "../../common/leased/RunEnd.js";
+import { RunResult } from "../../common/leased/RunResult.js";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import { NoMetrics } from "../../common/NoMetrics.js";
+import { SeededRandom } from "../../common/SeededRandom.js";
+import { FakeChannel } from "../../test/FakeChannel.js";
+import { StallingClock } from "../../test/StallingClock.js";
+import { LeasedEntry } from "./LeasedEntry.js";
+
+const ROUTE: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    service: "s",
+    priority: 0,
+    maxAttempts: 4,
+    timeoutMs: 10_000,
+    targetMs: 60,
+    stretch: 1.6,
+    advised: false,
+};
+const ID = "5c0e7a21d94b36f8";
+const TASK = `${ID}.0.0.0`;
+
+/** A caller submits again elsewhere 1300 ms after it has left. */
+const STANDSTILL_MS = 2000;
+
+const ROOM = { cpu: 1000, memoryMb: 1000, gpu: 0 };
+const NEED = { cpu: 1, memoryMb: 1, gpu: 0 };
+
+/** Agent that is attached to an entry. */
+class AttachedAgent {
+    public readonly channel: FakeChannel;
+
+    constructor(entry: LeasedEntry, id: string) {
+        this.channel = new FakeChannel(id);
+        entry.attach(this.channel);
+        this.report();
+    }
+
+    /** Tasks that were ordered here, each with its run number. */
+    public get ordered(): readonly string[] {
+        const orders = this.channel.sent.filter(message => message.kind === "run");
+        return orders.flatMap(({ tasks }) => tasks.map(({ name, run }) => `${name}/${run}`));
+    }
+
+    public report(accepting = true): void {
+        const condition = {
+            service: ROUTE.service,
+            endpoint: `endpoint of ${this.channel.peer.id}`,
+            labels: [],
+            capacity: ROOM,
+            used: { cpu: 0, memoryMb: 0, gpu: 0 },
+            accepting,
+            slowness: 1,
+            clockMs: 1,
+        };
+        this.channel.messages.fire({ kind: "load", condition, orders: this.ordered.length, tenured: true });
+    }
+
+    public end(run: Pick<RunEnd, "run" | "result">): void {
+        this.channel.messages.fire({ kind: "ended", runs: [{ task: TASK, ranMs: 1, reason: "", ...run }] });
+    }
+}
+
+interface Scene {
+    readonly clock: StallingClock;
+    readonly entry: LeasedEntry;
+    /** Submits the one job and returns what its caller calls when it leaves. */
+    readonly submit: () => () => void;
+}
+
+function createEntry(): Scene {
+    const clock = new StallingClock();
+    const runtime = { clock, log: new SilentLog(), metrics: new NoMetrics(), random: new SeededRandom(1) };
+    const entry = new LeasedEntry(new RoutingTable(), "e", "d", runtime);
+    const submit = () => {
+        const left = new AbortController();
+        const step = {
+            count: 1,
+            need: NEED,
+            estimateMs: 10,
+            after: [],
+            requiredLabel: undefined,
+            preferredRack: undefined,
+            maxPerEndpoint: 0,
+        };
+        void entry.dispatcher.submit({ id: ID, spec: "", steps: [step] }, ROUTE, ROUTE.timeoutMs, left.signal);
+        return () => left.abort();
+    };
+    return { clock, entry, submit };
+}
+
+describe("LeasedEntry", () => {
+    describe("an entry that stood still", () => {
+        for (const first of ["timers", "sockets"] as const) {
+            it(`guards against a task that is started again before its caller is seen to have left, ${first} first`, () => {
+                const { clock, entry, submit } = createEntry();
+                const agent = new AttachedAgent(entry, "a");
+                const leave = submit();
+                clock.pass(1);
+                assert.deepEqual(agent.ordered, [`${TASK}/1`]);
+                if (first === "timers") {
+                    clock.pass(STANDSTILL_MS);
+                }
+                else {
+                    clock.stand(STANDSTILL_MS);
+                }
+                agent.end({ run: 1, result: RunResult.Stopped });
+                agent.report();
+                // The end of the caller's connection is read in the first turn of the event loop and told in the next.
+                clock.pass(1);
+                clock.pass(1);
+                leave();
+                clock.pass(100);
+                assert.deepEqual(agent.ordered, [`${TASK}/1`]);
+            });
+        }
+
+        it("guards against a job whose caller has stayed and that is not started again", () => {
+            const { clock, entry, submit } = createEntry();
+            const agent = new AttachedAgent(entry, "a");
+            submit();
+            clock.pass(1);
+            clock.pass(STANDSTILL_MS);
+            agent.end({ run: 1, result: RunResult.Stopped });
+            agent.report();
+            for (let passed = 0; passed < 50; passed += 5) {
+                clock.pass(5);
+            }
+            assert.deepEqual(agent.ordered, [`${TASK}/1`, `${TASK}/2`]);
+        });
+    });
+});
--- /dev/null
+++ b/src/entry/leased/StandstillDetector.ts
@@ -0,0 +1,48 @@
+import type { Clock } from "../../common/Clock.js";
+import type { Disposable } from "../../common/Disposable.js";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+
+/** How often the detector looks at the clock. */
+const LOOK_INTERVAL_MS = 100;
+
+/**
+ * Time between two looks beyond which the process stood still. By then agents have stopped its runs, and most tasks come back
+ * at once; callers that left submit again 700 ms later at the earliest.
+ */
+const MAX_GAP_MS = LEASE_TIMES.TENURE_MS;
+
+/**
+ * Looks after a standstill until what arrived meanwhile has been read. The end of a connection is read in one turn of the
+ * event loop and told in the next; each look takes one turn at least.
+ */
+const LOOKS_UNTIL_READ = 3;
+const READ_INTERVAL_MS = 10;
+
+/** Tells whether the process stood still just now: what arrived meanwhile, as the end of callers, may not have been read. */
+export class StandstillDetector implements Disposable {
+    private lookedAt: number;
+    private looksLeft = 0;
+    private cancelLook: () => void;
+
+    constructor(private readonly clock: Clock) {
+        this.lookedAt = clock.now();
+        this.cancelLook = this.lookLater();
+    }
+
+    public get unread(): boolean {
+        return this.looksLeft > 0 || this.clock.now() - this.lookedAt > MAX_GAP_MS;
+    }
+
+    public dispose(): void {
+        this.cancelLook();
+    }
+
+    private lookLater(): () => void {
+        return this.clock.schedule(this.looksLeft > 0 ? READ_INTERVAL_MS : LOOK_INTERVAL_MS, () => {
+            const now = this.clock.now();
+            this.looksLeft = now - this.lookedAt > MAX_GAP_MS ? LOOKS_UNTIL_READ : Math.max(0, this.looksLeft - 1);
+            this.lookedAt = now;
+            this.cancelLook = this.lookLater();
+        });
+    }
+}
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -28,6 +28,10 @@
 
     /** Gives tasks that are ready to agents, job by job, as far as the placement finds any. */
     public place(jobs: readonly LeasedJob[], now: number): void {
+        // A task whose caller has left may run elsewhere again, so the ends of callers are read before anything is started.
+        if (this.channels.unread) {
+            return;
+        }
         const accepting = [...this.channels.agents]
             .filter(agent => agent.accepting && agent.ageMs(now) <= LEASE_TIMES.FRESH_REPORT_MS);
         for (const job of jobs) {
--- a/src/test/FakeChannel.ts
+++ b/src/test/FakeChannel.ts
@@ -1,6 +1,8 @@
 import { Emitter } from "../common/Emitter.js";
 import type { Channel } from "../common/wire/Channel.js";
+import type { Identity } from "../common/wire/Identity.js";
 import type { Message } from "../common/wire/Message.js";
+import { Role } from "../common/wire/Role.js";
 
 /** Channel without a socket: keeps what was sent, and tests fire what is received. */
 export class FakeChannel implements Channel {
@@ -10,14 +12,12 @@
     public readonly onMessage = this.messages.event;
     public readonly onClose = this.closes.event;
     public open = true;
-    public readonly peer = {
-        role: "agent",
-        id: "a",
-        incarnation: "i",
-        region: "r",
-        failureDomain: "f",
-        address: "127.0.0.1:1",
-    } as const;
+    public readonly peer: Identity;
+
+    constructor(id = "a") {
+        const address = "127.0.0.1:1";
+        this.peer = { role: Role.Agent, id, incarnation: "i", region: "r", failureDomain: "f", address };
+    }
 
     public send(message: Message): boolean {
         if (this.open) {
