--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -10,12 +10,12 @@
 import type { Log } from "../../common/log/Log.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import type { EndpointSession } from "./EndpointSession.js";
-import type { FinishedRun } from "./FinishedRun.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
 import { RunCalls } from "./RunCalls.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
+import { RunReconciler } from "./RunReconciler.js";
 import { RunTable } from "./RunTable.js";
 import { SlownessEstimate } from "./SlownessEstimate.js";
 import { StallDetector } from "./StallDetector.js";
@@ -47,6 +47,7 @@
     private readonly table = new RunTable();
     private readonly slowness = new SlownessEstimate();
     private readonly calls: RunCalls;
+    private readonly reconciler: RunReconciler;
     private readonly stalls: StallDetector;
     /** The endpoint had less room than the agent counted; no start until the next list. */
     private blocked = false;
@@ -72,6 +73,7 @@
             watch: () => this.ticks.within(TICK_MS),
         };
         this.calls = new RunCalls(session, this.table, owner, clock, log);
+        this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
         session.onList(({ list, sentAt }) => {
             this.takeList(list, sentAt);
         });
@@ -140,7 +142,7 @@
     private orderTask(owner: string, order: MessageOf<"run">, task: string, run: number): void {
         const known = this.table.get(task);
         if (known !== undefined) {
-            this.refuseSecond(known, owner, task, run);
+            this.refuseSecond(known, owner);
             return;
         }
         this.table.add({
@@ -159,17 +161,19 @@
             abortReason: undefined,
             stopDueAt: 0,
             restart: false,
+            refusedOwners: new Set(),
         });
     }
 
-    /** The caller lost the other entry, or it would not have submitted again: the older run is of no use to anyone. */
-    private refuseSecond(known: OrderedRun, owner: string, task: string, run: number): void {
-        if (known.owner === owner) {
-            return;
+    /**
+     * The caller lost the other entry, or it would not have submitted again: the older run is of no use to anyone. The new order
+     * is given back once that run is over, because its entry may place the task elsewhere at once.
+     */
+    private refuseSecond(known: OrderedRun, owner: string): void {
+        if (known.owner !== owner) {
+            known.refusedOwners.add(owner);
+            this.calls.stop(known, "submitted again at another entry");
         }
-        this.calls.stop(known, "submitted again at another entry");
-        const reason = "a run of another entry is being stopped";
-        this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason }, more: false });
     }
 
     /** Starts waiting orders, first come first served, as long as they fit. */
@@ -204,47 +208,10 @@
 
     private takeList(list: RunList, sentAt: number): void {
         this.blocked = false;
-        for (const finished of list.finished) {
-            const run = this.table.get(finished.task);
-            if (run !== undefined && run.run === finished.run && run.phase !== RunPhase.Waiting) {
-                this.takeFinished(run, finished);
-            }
-        }
-        const running = new Map(list.running.map(({ task, run }) => [task, run]));
-        for (const [task, number] of running) {
-            this.takeRunning(task, number);
-        }
-        for (const run of this.table.all) {
-            const confirmed = run.startedAt !== undefined && run.startedAt < sentAt;
-            if (confirmed && !running.has(run.task)) {
-                this.finish(run, RunResult.Stopped, "no longer listed");
-            }
-        }
+        this.reconciler.take(list, sentAt);
         this.startWaiting();
     }
 
-    private takeFinished(run: OrderedRun, finished: FinishedRun): void {
-        if (run.restart && finished.result === RunResult.Stopped) {
-            this.calls.startAgain(run, `end listed: ${finished.reason}`);
-        }
-        else {
-            this.finish(run, finished.result, finished.reason);
-        }
-    }
-
-    private takeRunning(task: string, number: number): void {
-        const run = this.table.get(task);
-        if (run === undefined) {
-            this.calls.stopStranger(task, number);
-        }
-        else if (run.phase === RunPhase.Starting && run.run === number) {
-            this.calls.markRunning(run);
-        }
-        else if (run.phase === RunPhase.Stopping && run.run === number) {
-            run.startedAt ??= this.clock.now();
-        }
-    }
-
     /** Ends all runs. Those that may have been started in the life that has replaced theirs are ruled out there first. */
     private endAll(reason: string, replaced: boolean): void {
         this.slowness.reset();
@@ -267,14 +234,26 @@
             this.stalls.ended(run, this.slowness.value);
             this.slowness.observe(ranMs, run.estimateMs);
         }
-        const end = { task: run.task, run: run.run, result, ranMs, reason: run.abortReason ?? reason };
+        const { task, run: number, refusedOwners } = run;
+        const superseded = refusedOwners.size > 0 && result !== RunResult.Done;
+        const told = superseded ? RunResult.Superseded : result;
+        const end = { task, run: number, result: told, ranMs, reason: run.abortReason ?? reason };
         const waitedMs = Math.round((run.startedAt ?? this.clock.now()) - run.orderedAt);
         this.log.write(LeaseEvent.RunEnded, { ...end, waitedMs, owner: run.owner, starts: run.starts });
         const more = this.table.all.some(other => other.owner === run.owner && other.order === run.order);
         this.ends.fire({ owner: run.owner, end, more });
+        this.tellRefused(run);
         this.changes.fire(undefined);
     }
 
+    /** Gives the orders back that were refused because of this run. */
+    private tellRefused({ task, run, refusedOwners }: OrderedRun): void {
+        const reason = "a run of another entry was stopped";
+        for (const owner of refusedOwners) {
+            this.ends.fire({ owner, end: { task, run, result: RunResult.NotStarted, ranMs: 0, reason }, more: false });
+        }
+    }
+
     /** Gives back orders whose time has passed, stops stalled runs, and repeats stops. */
     private tick(): void {
         const wanted = this.table.all.filter(run => run.phase === RunPhase.Running);
