Hold a job submitted again until its earlier runs have ended

Callers could see two runs of one task (TWICE): a job whose caller had left, and that came again to the same entry, was placed at another agent while the first agent still had not told the end of the run that it was to stop, as at an endpoint that holds stops back.

Cause: the entry forgets a job when it answers it. The names of its tasks stay in the view of the agent until their ends are told, but nothing asked for them: a task of the second submission is ready at once. The view of an agent that is lost was dropped with its names, so that its runs of a job given up were not waited for either. An end of the earlier run that was on its way could also be taken for the end of the new one, which has the same run number, and the task be placed a third time.

Evidence: src/entry/leased/LeasedEntry.test.ts, "a job that is submitted again at the same entry". On the code before, all three fail, as in "not ok 1 - guards against a second run while the first is still being stopped at its agent" (an order of run 1 from the second agent).

Why it works: a task is placed only when no agent has an open order of it, attached or lost for less than the 1200 ms in which its runs lapse. With that, an entry has at most one order of a task open at a time, whatever became of the job in between.

Ruled out by a test that passes on the code before: an end that the earlier connection of an agent tells after the agent has attached again. What remains: the same job at another entry, which cannot know of the first.

--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -24,6 +24,8 @@
 /** Controller of the attached agents: tenures, reports, losses, and the spread of routing documents and addresses. */
 export class AgentChannels implements Disposable {
     private readonly views = new Map<string, AgentView>();
+    /** Lost agents whose runs may go on. */
+    private readonly lapsing = new Set<AgentView>();
     private readonly ends = new Emitter<AgentEnds>();
     private readonly losses = new Emitter<AgentView>();
     private readonly loads = new Emitter<AgentView>();
@@ -63,6 +65,11 @@
         return this.views.get(id);
     }
 
+    /** Whether a run of the task that was ordered here may go on: no agent has told its end, and it has not lapsed. */
+    public mayRun(task: string): boolean {
+        return holds(this.views.values(), task) || holds(this.lapsing, task);
+    }
+
     /** Attaches an agent; an older channel of the same VM is given up. */
     public attach(channel: Channel): void {
         const id = channel.peer.id;
@@ -174,6 +181,8 @@
         }
         this.views.delete(view.id);
         this.log.write(EntryLeaseEvent.AgentLost, { agent: view.id, reason, tasks: [...view.tasks] });
+        this.lapsing.add(view);
+        this.clock.schedule(LEASE_TIMES.LOST_RUN_MS, () => this.lapsing.delete(view));
         this.losses.fire(view);
     }
 
@@ -184,6 +193,15 @@
     }
 }
 
+function holds(views: Iterable<AgentView>, task: string): boolean {
+    for (const view of views) {
+        if (view.tasks.has(task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 function isSilent(view: AgentView, now: number): boolean {
     const limitMs = view.tasks.size > 0 ? LEASE_TIMES.AGENT_SILENCE_MS : LEASE_TIMES.IDLE_AGENT_SILENCE_MS;
     return view.current !== undefined && view.ageMs(now) > limitMs;
--- a/src/entry/leased/LeasedEntry.test.ts
+++ b/src/entry/leased/LeasedEntry.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
 import type { Route } from "../../common/leased/Route.js";
 import { RoutingTable } from "../../common/leased/RoutingTable.js";
 import type { RunEnd } from "../../common/leased/RunEnd.js";
@@ -30,11 +32,14 @@
 const STANDSTILL_MS = 2000;
 
 const ROOM = { cpu: 1000, memoryMb: 1000, gpu: 0 };
-const NEED = { cpu: 1, memoryMb: 1, gpu: 0 };
+
+/** An endpoint has room for one task at a time. */
+const NEED = { cpu: 600, memoryMb: 1, gpu: 0 };
 
 /** Agent that is attached to an entry. */
 class AttachedAgent {
     public readonly channel: FakeChannel;
+    private ends = 0;
 
     constructor(entry: LeasedEntry, id: string) {
         this.channel = new FakeChannel(id);
@@ -48,14 +53,14 @@
         return orders.flatMap(({ tasks }) => tasks.map(({ name, run }) => `${name}/${run}`));
     }
 
-    public report(accepting = true): void {
+    public report(): void {
         const condition = {
             service: ROUTE.service,
             endpoint: `endpoint of ${this.channel.peer.id}`,
             labels: [],
             capacity: ROOM,
-            used: { cpu: 0, memoryMb: 0, gpu: 0 },
-            accepting,
+            used: this.ordered.length > this.ends ? NEED : NO_RESOURCES,
+            accepting: true,
             slowness: 1,
             clockMs: 1,
         };
@@ -63,6 +68,7 @@
     }
 
     public end(run: Pick<RunEnd, "run" | "result">): void {
+        this.ends += 1;
         this.channel.messages.fire({ kind: "ended", runs: [{ task: TASK, ranMs: 1, reason: "", ...run }] });
     }
 }
@@ -135,4 +141,77 @@
             assert.deepEqual(agent.ordered, [`${TASK}/1`, `${TASK}/2`]);
         });
     });
+
+    describe("a job that is submitted again at the same entry", () => {
+        /** The caller has left, and its job is here again while agent `a` has not told the end of its run. */
+        function submitAgain(): Scene & Readonly<Record<"a" | "b", AttachedAgent>> {
+            const scene = createEntry();
+            const a = new AttachedAgent(scene.entry, "a");
+            const leave = scene.submit();
+            scene.clock.pass(1);
+            assert.deepEqual(a.ordered, [`${TASK}/1`]);
+            const b = new AttachedAgent(scene.entry, "b");
+            leave();
+            advance(scene.clock, 1300, [a, b]);
+            scene.submit();
+            advance(scene.clock, 100, [a, b]);
+            return { ...scene, a, b };
+        }
+
+        it("guards against a second run while the first is still being stopped at its agent", () => {
+            const { clock, a, b } = submitAgain();
+            assert.deepEqual([...a.ordered, ...b.ordered], [`${TASK}/1`]);
+            a.end({ run: 1, result: RunResult.Stopped });
+            advance(clock, 100, [b]);
+            assert.equal(a.ordered.length + b.ordered.length, 2);
+        });
+
+        it("guards against a second run before the first has lapsed with its agent", () => {
+            const { clock, a, b } = submitAgain();
+            a.channel.close("reset");
+            advance(clock, LEASE_TIMES.LOST_RUN_MS - 100, [b]);
+            assert.deepEqual(b.ordered, []);
+            advance(clock, 200, [b]);
+            assert.equal(b.ordered.length, 1);
+        });
+
+        it("guards against a second run before the first has lapsed with an agent that was lost in between", () => {
+            const { clock, entry, submit } = createEntry();
+            const a = new AttachedAgent(entry, "a");
+            const leave = submit();
+            clock.pass(1);
+            const b = new AttachedAgent(entry, "b");
+            leave();
+            advance(clock, 1200, [a, b]);
+            a.channel.close("reset");
+            submit();
+            advance(clock, LEASE_TIMES.LOST_RUN_MS - 100, [b]);
+            assert.deepEqual(b.ordered, []);
+            advance(clock, 200, [b]);
+            assert.equal(b.ordered.length, 1);
+        });
+    });
+
+    describe("an agent that attaches again", () => {
+        it("guards against a second run because of an end that its earlier connection tells", () => {
+            const { clock, entry, submit } = createEntry();
+            const earlier = new AttachedAgent(entry, "a");
+            submit();
+            clock.pass(1);
+            const later = new AttachedAgent(entry, "a");
+            earlier.end({ run: 1, result: RunResult.Stopped });
+            advance(clock, LEASE_TIMES.LOST_RUN_MS - 100, [later]);
+            assert.deepEqual(later.ordered, []);
+            advance(clock, 200, [later]);
+            assert.equal(later.ordered.length, 1);
+        });
+    });
 });
+
+/** Lets time pass while the agents report. */
+function advance(clock: StallingClock, ms: number, agents: readonly AttachedAgent[]): void {
+    for (let passed = 0; passed < ms; passed += 10) {
+        agents.forEach(agent => agent.report());
+        clock.pass(10);
+    }
+}
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -44,7 +44,8 @@
         const chosen = new Set<string>();
         for (const task of job.tasks) {
             const step = job.order.steps[task.step];
-            if (task.state !== TaskState.Ready || step === undefined) {
+            // A task that may run belongs to an earlier submission of its job, which was given up.
+            if (task.state !== TaskState.Ready || step === undefined || this.channels.mayRun(task.name)) {
                 continue;
             }
             const agent = this.placement.choose({ job, step, task, now, chosen }, accepting);
