Ask whether a task may still run only once it has a place

The check goes through all agents of the entry. Under a crest most waiting tasks find no place, so it is asked after the placement has chosen one.

--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -44,14 +44,17 @@
         const chosen = new Set<string>();
         for (const task of job.tasks) {
             const step = job.order.steps[task.step];
-            // A task that may run belongs to an earlier submission of its job, which was given up.
-            if (task.state !== TaskState.Ready || step === undefined || this.channels.mayRun(task.name)) {
+            if (task.state !== TaskState.Ready || step === undefined) {
                 continue;
             }
             const agent = this.placement.choose({ job, step, task, now, chosen }, accepting);
             if (agent === undefined) {
                 break;
             }
+            // A task that may run belongs to an earlier submission of its job, which was given up.
+            if (this.channels.mayRun(task.name)) {
+                continue;
+            }
             chosen.add(agent.id);
             this.assign(task, agent, step, batches, now);
         }
