Let emulated endpoints break calls off, and take late calls in a later life

A lost answer always took its timeout, so a look after a stop failed after the 50 ms of the stop; late calls came after 2500 ms and never in a later life; a start under a higher number took the place of the run that was there.

Change: two fates for a reset connection, after a round trip: carried out or not. Runs of one task under several numbers stand beside each other until each has ended.

--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -15,6 +15,7 @@
 import { CallFate } from "./CallFate.js";
 import { EmulatedChannel } from "./EmulatedChannel.js";
 import { EmulatedEndpoint } from "./EmulatedEndpoint.js";
+import type { EndpointCall } from "./EndpointCall.js";
 import type { RunRecord } from "./RunRecord.js";
 
 const LINK_DELAY_MS = 1;
@@ -37,7 +38,13 @@
     readonly taskCpu: number;
     /** Run time and end of a task at an endpoint. */
     readonly work: (task: string, endpoint: number) => { readonly ms: number; readonly how: string; };
-    readonly fate?: (call: "start" | "stop" | "look", task: string, endpoint: number) => CallFate;
+    readonly fate?: (call: EndpointCall, task: string, endpoint: number) => CallFate;
+    /** Time after which a late call is carried out. */
+    readonly lateMs?: (call: EndpointCall, endpoint: number) => number;
+    /** Whether late calls are carried out in a later life of an endpoint. */
+    readonly takesCallsOfEarlierLives?: boolean;
+    /** Milliseconds of an endpoint's clock in a millisecond. */
+    readonly clockRate?: number;
     readonly log?: Log;
     /** How many entries each agent keeps connections to; by default what agents do by themselves. */
     readonly linkTarget?: () => LinkTarget;
@@ -148,6 +155,7 @@
     }
 
     private addAgent(number: number): void {
+        const { lateMs, takesCallsOfEarlierLives = false, clockRate = 1 } = this.options;
         const endpoint = new EmulatedEndpoint(this.clock, {
             id: `endpoint-${number}`,
             bornMs: FIRST_BORN_MS,
@@ -155,6 +163,9 @@
             work: task => this.options.work(task, number),
             cpuOf: () => this.options.taskCpu,
             fate: (call, task) => this.options.fate?.(call, task, number) ?? CallFate.Answered,
+            takesCallsOfEarlierLives,
+            clockRate,
+            ...(lateMs === undefined ? {} : { lateMs: call => lateMs(call, number) }),
         });
         this.endpoints.push(endpoint);
         const dial = (address: string) => this.dial(number, Number(address.slice("entry-".length)));
--- a/src/emulator/EmulatedEndpoint.ts
+++ b/src/emulator/EmulatedEndpoint.ts
@@ -7,6 +7,7 @@
 import type { Resources } from "../common/leased/Resources.js";
 import { RunResult } from "../common/leased/RunResult.js";
 import { CallFate } from "./CallFate.js";
+import type { EndpointCall } from "./EndpointCall.js";
 import type { RunRecord } from "./RunRecord.js";
 
 /** What the clock of a new life shows. */
@@ -18,7 +19,7 @@
 /** Ways to the endpoint; a look overtakes a start. */
 const TRANSIT_MS = { start: 2, stop: 1, look: 1 } as const;
 
-/** When a late call is carried out. */
+/** When a late call is carried out, unless the options say otherwise. */
 const LATE_MS = 2500;
 
 type StartCall = Parameters<EndpointControl["start"]>[0];
@@ -45,7 +46,16 @@
     /** What a task occupies. */
     readonly cpuOf: (task: string) => number;
     /** Fate of the next call. */
-    readonly fate: (call: "start" | "stop" | "look", task: string) => CallFate;
+    readonly fate: (call: EndpointCall, task: string) => CallFate;
+    /** Time after which a late call is carried out. */
+    readonly lateMs?: (call: EndpointCall) => number;
+    /**
+     * Whether late calls are carried out in a life that began after they were sent. A life that keeps its id takes them: the
+     * instance header names only the id, the life has seen no fence, and its clock begins anew.
+     */
+    readonly takesCallsOfEarlierLives?: boolean;
+    /** Milliseconds of its own clock in a millisecond; the platform's clocks may be 2% slow. */
+    readonly clockRate?: number;
 }
 
 /** Endpoint with leases, fences, room and a list of ends, as the platform describes its workers; on any clock. */
@@ -54,7 +64,7 @@
     public readonly records: RunRecord[] = [];
     /** False while nothing answers. */
     public up = true;
-    private readonly live = new Map<string, LiveRun>();
+    private readonly live = new Set<LiveRun>();
     private readonly highest = new Map<string, number>();
     private finished: { number: number; task: string; run: number; how: string; }[] = [];
     private count = 0;
@@ -105,7 +115,7 @@
     /** Ends everything at once and answers nothing until it is started again. */
     public crash(): void {
         this.up = false;
-        for (const run of [...this.live.values()]) {
+        for (const run of [...this.live]) {
             this.end(run, "crashed");
         }
         this.finished = [];
@@ -127,11 +137,15 @@
 
     /** Steady clock of this life. */
     private get clockMs(): number {
-        return Math.floor(this.clock.now() - this.bornAt) + FIRST_CLOCK_MS;
+        return Math.floor((this.clock.now() - this.bornAt) * this.clockRate) + FIRST_CLOCK_MS;
+    }
+
+    private get clockRate(): number {
+        return this.options.clockRate ?? 1;
     }
 
     private perform<T>(
-        kind: "start" | "stop" | "look",
+        kind: EndpointCall,
         task: string,
         timeoutMs: number,
         lost: T,
@@ -141,20 +155,36 @@
             const fate = this.up ? this.options.fate(kind, task) : CallFate.Lost;
             const transitMs = TRANSIT_MS[kind];
             const life = this.life;
-            if (fate === CallFate.Answered) {
-                this.clock.schedule(transitMs, () => {
-                    const answer = this.up && this.life === life ? act() : lost;
-                    this.clock.schedule(transitMs, () => resolve(answer));
-                });
-                return;
-            }
-            this.clock.schedule(timeoutMs, () => resolve(lost));
-            if (fate !== CallFate.Lost) {
-                this.clock.schedule(fate === CallFate.Late ? LATE_MS : transitMs, () => {
-                    if (this.up && this.life === life) {
-                        act();
-                    }
-                });
+            const reach = (): T => this.up && this.life === life ? act() : lost;
+            switch (fate) {
+                case CallFate.Answered:
+                    this.clock.schedule(transitMs, () => {
+                        const answer = reach();
+                        this.clock.schedule(transitMs, () => resolve(answer));
+                    });
+                    return;
+                case CallFate.BrokenOff:
+                    this.clock.schedule(2 * transitMs, () => resolve(lost));
+                    return;
+                case CallFate.AnswerBrokenOff:
+                    this.clock.schedule(transitMs, reach);
+                    this.clock.schedule(2 * transitMs, () => resolve(lost));
+                    return;
+                case CallFate.AnswerLost:
+                    this.clock.schedule(timeoutMs, () => resolve(lost));
+                    this.clock.schedule(transitMs, reach);
+                    return;
+                case CallFate.Late:
+                    this.clock.schedule(timeoutMs, () => resolve(lost));
+                    this.clock.schedule(this.options.lateMs?.(kind) ?? LATE_MS, () => {
+                        if (this.up && (this.life === life || this.options.takesCallsOfEarlierLives === true)) {
+                            act();
+                        }
+                    });
+                    return;
+                case CallFate.Lost:
+                    this.clock.schedule(timeoutMs, () => resolve(lost));
+                    return;
             }
         });
     }
@@ -164,8 +194,7 @@
             return StartOutcome.Fenced;
         }
         this.fence = call.fence;
-        const running = this.live.get(call.task);
-        if (running?.record.run === call.run) {
+        if (this.runsOf(call.task).some(({ record }) => record.run === call.run)) {
             return StartOutcome.Started;
         }
         if (call.untilMs <= this.clockMs) {
@@ -196,7 +225,7 @@
         const work = this.options.work(task);
         const live: LiveRun = { record, cpu, cancelEnd: () => undefined, stopping: false };
         live.cancelEnd = this.clock.schedule(work.ms, () => this.end(live, work.how));
-        this.live.set(task, live);
+        this.live.add(live);
     }
 
     private carryOutStop(call: StopCall): StopOutcome {
@@ -205,20 +234,20 @@
         }
         this.fence = call.fence;
         this.highest.set(call.task, Math.max(call.run, this.highest.get(call.task) ?? 0));
-        const run = this.live.get(call.task);
-        if (run !== undefined && run.record.run <= call.run && !run.stopping) {
-            run.stopping = true;
-            this.clock.schedule(STOP_MS, () => this.end(run, "stopped"));
+        for (const run of this.runsOf(call.task)) {
+            if (run.record.run <= call.run && !run.stopping) {
+                run.stopping = true;
+                this.clock.schedule(STOP_MS, () => this.end(run, "stopped"));
+            }
         }
         return StopOutcome.Taken;
     }
 
     private end(run: LiveRun, how: string): void {
         const { record } = run;
-        if (this.live.get(record.task) !== run) {
+        if (!this.live.delete(run)) {
             return;
         }
-        this.live.delete(record.task);
         run.cancelEnd();
         record.to = this.clock.now();
         record.how = how;
@@ -233,21 +262,26 @@
     private renew(untilMs: number): void {
         this.untilMs = Math.max(this.untilMs, Math.min(untilMs, this.clockMs + MAX_LEASE_MS));
         this.cancelLapse?.();
-        this.cancelLapse = this.clock.schedule(this.untilMs - this.clockMs, () => {
-            for (const run of [...this.live.values()]) {
+        this.cancelLapse = this.clock.schedule((this.untilMs - this.clockMs) / this.clockRate, () => {
+            for (const run of [...this.live]) {
                 this.end(run, "lapsed");
             }
         });
     }
 
+    /** A start under a higher number begins a further run of the task, also while an earlier one is there. */
+    private runsOf(task: string): readonly LiveRun[] {
+        return [...this.live].filter(({ record }) => record.task === task);
+    }
+
     private usedCpu(): number {
-        return [...this.live.values()].reduce((sum, run) => sum + run.cpu, 0);
+        return [...this.live].reduce((sum, run) => sum + run.cpu, 0);
     }
 
     private list(): RunList {
         return {
             bornMs: this.bornMs,
-            running: [...this.live.values()].map(({ record }) => ({ task: record.task, run: record.run })),
+            running: [...this.live].map(({ record }) => ({ task: record.task, run: record.run })),
             finished: this.finished.map(({ number, task, run, how }) => ({
                 number,
                 task,
