Play resets, rebirths and held stops in the emulator

Cause: the emulator's one set of faults had neither connections that are reset, nor refused connections of an endpoint that is down, nor calls that come a little late or in a later life, nor long runs, nor an endpoint that holds back only its stops.

`usual` draws the same random numbers as before, so the seeds of playFaults.test.ts keep their meaning.

--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -43,6 +43,8 @@
     readonly lateMs?: (call: EndpointCall, endpoint: number) => number;
     /** Whether late calls are carried out in a later life of an endpoint. */
     readonly takesCallsOfEarlierLives?: boolean;
+    /** Whether an endpoint that is down refuses connections. */
+    readonly refusesWhileDown?: boolean;
     /** Milliseconds of an endpoint's clock in a millisecond. */
     readonly clockRate?: number;
     readonly log?: Log;
@@ -155,7 +157,7 @@
     }
 
     private addAgent(number: number): void {
-        const { lateMs, takesCallsOfEarlierLives = false, clockRate = 1 } = this.options;
+        const { lateMs, takesCallsOfEarlierLives = false, refusesWhileDown = false, clockRate = 1 } = this.options;
         const endpoint = new EmulatedEndpoint(this.clock, {
             id: `endpoint-${number}`,
             bornMs: FIRST_BORN_MS,
@@ -164,6 +166,7 @@
             cpuOf: () => this.options.taskCpu,
             fate: (call, task) => this.options.fate?.(call, task, number) ?? CallFate.Answered,
             takesCallsOfEarlierLives,
+            refusesWhileDown,
             clockRate,
             ...(lateMs === undefined ? {} : { lateMs: call => lateMs(call, number) }),
         });
--- a/src/emulator/EmulatedEndpoint.ts
+++ b/src/emulator/EmulatedEndpoint.ts
@@ -29,6 +29,8 @@
 type StopAnswer = Awaited<ReturnType<EndpointControl["stop"]>>;
 type LookAnswer = Awaited<ReturnType<EndpointControl["look"]>>;
 
+type CallFailure = typeof LookOutcome.Unanswered | typeof LookOutcome.Unreachable;
+
 interface LiveRun {
     readonly record: RunRecord;
     readonly cpu: number;
@@ -56,6 +58,8 @@
     readonly takesCallsOfEarlierLives?: boolean;
     /** Milliseconds of its own clock in a millisecond; the platform's clocks may be 2% slow. */
     readonly clockRate?: number;
+    /** Whether connections are refused while it is down; otherwise calls are lost. */
+    readonly refusesWhileDown?: boolean;
 }
 
 /** Endpoint with leases, fences, room and a list of ends, as the platform describes its workers; on any clock. */
@@ -81,22 +85,22 @@
     }
 
     public start(call: StartCall): ReturnType<EndpointControl["start"]> {
-        const lost: StartAnswer = { outcome: StartOutcome.Unanswered, clockMs: undefined };
-        return this.perform<StartAnswer>("start", call.task, call.timeoutMs, lost, () => {
+        const failed = (outcome: CallFailure): StartAnswer => ({ outcome, clockMs: undefined });
+        return this.perform<StartAnswer>("start", call, failed, () => {
             return { outcome: this.carryOutStart(call), clockMs: this.clockMs };
         });
     }
 
     public stop(call: StopCall): ReturnType<EndpointControl["stop"]> {
-        const lost: StopAnswer = { outcome: StopOutcome.Unanswered, clockMs: undefined };
-        return this.perform<StopAnswer>("stop", call.task, call.timeoutMs, lost, () => {
+        const failed = (outcome: CallFailure): StopAnswer => ({ outcome, clockMs: undefined });
+        return this.perform<StopAnswer>("stop", call, failed, () => {
             return { outcome: this.carryOutStop(call), clockMs: this.clockMs };
         });
     }
 
     public async look(call: LookCall): Promise<LookAnswer> {
-        const lost: LookAnswer = { outcome: LookOutcome.Unanswered, clockMs: undefined, list: undefined };
-        const answer = await this.perform<LookAnswer>("look", "", call.timeoutMs, lost, () => {
+        const failed = (outcome: CallFailure): LookAnswer => ({ outcome, clockMs: undefined, list: undefined });
+        const answer = await this.perform<LookAnswer>("look", call, failed, () => {
             if (call.fence < this.fence) {
                 return { outcome: LookOutcome.Fenced, clockMs: this.clockMs, list: undefined };
             }
@@ -146,14 +150,18 @@
 
     private perform<T>(
         kind: EndpointCall,
-        task: string,
-        timeoutMs: number,
-        lost: T,
+        { task = "", timeoutMs }: { readonly task?: string; readonly timeoutMs: number; },
+        failed: (outcome: CallFailure) => T,
         act: () => T,
     ): Promise<T> {
         return new Promise(resolve => {
-            const fate = this.up ? this.options.fate(kind, task) : CallFate.Lost;
             const transitMs = TRANSIT_MS[kind];
+            if (!this.up && this.options.refusesWhileDown === true) {
+                this.clock.schedule(2 * transitMs, () => resolve(failed(LookOutcome.Unreachable)));
+                return;
+            }
+            const fate = this.up ? this.options.fate(kind, task) : CallFate.Lost;
+            const lost = failed(LookOutcome.Unanswered);
             const life = this.life;
             const reach = (): T => this.up && this.life === life ? act() : lost;
             switch (fate) {
--- a/src/emulator/playFaults.ts
+++ b/src/emulator/playFaults.ts
@@ -2,12 +2,13 @@
 import { SeededRandom } from "../common/SeededRandom.js";
 import { CallFate } from "./CallFate.js";
 import { EmulatedDeployment } from "./EmulatedDeployment.js";
+import { FAULT_PROFILES } from "./FAULT_PROFILES.js";
+import type { FaultProfile } from "./FaultProfile.js";
 import { findOverlap } from "./findOverlap.js";
 
 const ENTRIES = 2;
 const AGENTS = 3;
 const LENGTH_MS = 6000;
-const SUBMIT_EVERY_MS = 60;
 const TASK_CPU = 6000;
 const ENDPOINT_CPU = 32_000;
 
@@ -17,9 +18,8 @@
 /** Time after the last job until which callers submit again; the play ends when the last of these has its answer. */
 const LAST_RESUBMIT_MS = 3000;
 
-/** Share of calls to endpoints that go wrong, and of steps at which something breaks. */
-const FAULTY_CALL_SHARE = 0.08;
-const FAULT_SHARE = 0.05;
+/** Time beyond the callers' time until the last answer. */
+const LAST_ANSWER_MS = 1500;
 
 /** Longest time from the start of an endpoint to the heartbeat that announces it. */
 const MAX_HEARTBEAT_DELAY_MS = 500;
@@ -43,21 +43,43 @@
 }
 
 /** Plays a few seconds of jobs and faults from a seed on the virtual clock. */
-export async function playFaults(seed: number, log?: Log): Promise<PlayResult> {
+export async function playFaults(
+    seed: number,
+    profile: FaultProfile = FAULT_PROFILES.usual,
+    log?: Log,
+): Promise<PlayResult> {
     const random = new SeededRandom(seed);
-    const chance = (share: number) => random.next() < share;
+    const chance = (share: number) => share > 0 && random.next() < share;
     const pick = (count: number) => Math.floor(random.next() * count);
-    const deployment = new EmulatedDeployment({
+    const timeIn = ({ leastMs, mostMs }: FaultProfile["late"]) => {
+        return leastMs === mostMs ? leastMs : leastMs + random.next() * (mostMs - leastMs);
+    };
+    /** Time for which the endpoint holds stops back from now on. */
+    const heldMs = (endpoint: number) => {
+        const phase = endpoint * profile.stopPeriodMs / AGENTS;
+        return Math.max(0, profile.stopsHeldMs - (deployment.clock.now() + phase) % profile.stopPeriodMs);
+    };
+    const deployment: EmulatedDeployment = new EmulatedDeployment({
         entries: ENTRIES,
         agents: AGENTS,
         seed,
         cpu: ENDPOINT_CPU,
         taskCpu: TASK_CPU,
-        work: () => ({ ms: 20 + random.next() * 400, how: chance(0.02) ? "failed" : "done" }),
-        fate: () => {
-            const fates = [CallFate.AnswerLost, CallFate.Lost, CallFate.Late];
-            return chance(FAULTY_CALL_SHARE) ? fates[pick(fates.length)] ?? CallFate.Lost : CallFate.Answered;
+        work: () => {
+            const ms = chance(profile.longRunShare) ? timeIn(profile.longRun) : 20 + random.next() * 400;
+            return { ms, how: chance(0.02) ? "failed" : "done" };
+        },
+        fate: (call, _task, endpoint) => {
+            if (call === "stop" && heldMs(endpoint) > 0) {
+                return CallFate.Late;
+            }
+            const { faultyCallShare, fates } = profile;
+            return chance(faultyCallShare) ? fates[pick(fates.length)] ?? CallFate.Lost : CallFate.Answered;
         },
+        lateMs: (call, endpoint) => (call === "stop" && heldMs(endpoint)) || timeIn(profile.late),
+        takesCallsOfEarlierLives: profile.callsOutliveLives,
+        refusesWhileDown: profile.refusesWhileDown,
+        clockRate: profile.clockRate,
         ...(log === undefined ? {} : { log }),
     });
     const submissions: Submission[] = [];
@@ -80,7 +102,7 @@
                 deployment.clock.schedule(RESUBMIT_MS, () => submit(submission, pick(ENTRIES)));
             });
         }
-        void deployment.submit(entry, submission.id, 1 + pick(4), 200, left.signal).then(outcome => {
+        void deployment.submit(entry, submission.id, 1 + pick(4), 200, left.signal, profile.budgetMs).then(outcome => {
             settled(outcome.kind === "refused" ? outcome.verdict : outcome.kind);
             if (!leaves && outcome.kind === "refused" && outcome.verdict !== "not_run") {
                 deployment.clock.schedule(RESUBMIT_MS, () => submit(submission, pick(ENTRIES)));
@@ -99,7 +121,7 @@
         }
         else if (endpoint !== undefined) {
             endpoint.crash();
-            deployment.clock.schedule(500, () => {
+            deployment.clock.schedule(timeIn(profile.down), () => {
                 born += 1;
                 const bornMs = born;
                 endpoint.restart(bornMs);
@@ -110,17 +132,17 @@
         }
     };
     await deployment.advance(400);
-    for (let passed = 0; passed < LENGTH_MS; passed += SUBMIT_EVERY_MS) {
+    for (let passed = 0; passed < LENGTH_MS; passed += profile.submitEveryMs) {
         const id = (seed * 100_000 + submissions.length).toString(16).padStart(16, "0");
         const submission = { id, verdicts: [], open: 0 };
         submissions.push(submission);
         submit(submission, pick(ENTRIES));
-        if (chance(FAULT_SHARE)) {
+        if (chance(profile.faultShare)) {
             breakSomething();
         }
-        await deployment.advance(SUBMIT_EVERY_MS);
+        await deployment.advance(profile.submitEveryMs);
     }
-    await deployment.advance(LAST_RESUBMIT_MS + 3000);
+    await deployment.advance(LAST_RESUBMIT_MS + profile.budgetMs + LAST_ANSWER_MS);
     const overlap = findOverlap(deployment.records);
     const ran = new Set(deployment.records.map(record => record.task.split(".")[0] ?? ""));
     return {
