Raise the fence with each new life of the endpoint

Callers could get a task run twice.

Cause: an endpoint that starts again under its id has seen no fence and no stop, its clock begins anew, and the instance header names only the id. A start to the earlier life that is carried out late begins a run in the new one, also seconds after the agent has met that life. A stop rules a start out only in the life that has taken it.

Change: the agent's fence rises by one with each life that follows another, so the first call to the new life rules out every call of the earlier one. The next agent process has a higher fence still, since fences are times in milliseconds.

Not shown: that the platform carries a late call out in a later life; its pages leave it open.

Weighed: stops of all former tasks in each new life. That is a list without end, and the first call would still come too late.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -178,6 +178,10 @@
     }
 
     private begin(report: EndpointReport): void {
+        if (this.current !== undefined) {
+            // Calls to the earlier life that are still under way do nothing here once this life has seen the higher fence.
+            this.fenceNumber += 1;
+        }
         this.end("new life of the endpoint", true);
         this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
         this.acknowledged = 0;
