Drop run lists that a newer one has overtaken, and clocks of earlier lives

Agents stopped runs that had ended, and since the lease is bounded by runs that no entry has ordered they refused orders until the next list.

Cause: two looks are under way at once while a start is settled, and their answers overtake each other. The older list shows a run as running that the newer one has shown as ended. The test of EndpointSession fails before this change.

Change: a list with a lower time on the endpoint's clock than the newest one is dropped. Its ends come again, because they are not acknowledged. In the same way the clock of an answer counts only for the life that was called: a late answer of an earlier life set the clock of the next one, and with it leases and start windows (found by reading, with a test).

--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -14,6 +14,9 @@
 /** Round trip to an endpoint that breaks each call off. */
 const ROUND_TRIP_MS = 2;
 
+/** Round trip of an answer that later ones overtake. */
+const SLOW_ANSWER_MS = 20;
+
 /** Each look that is broken off costs a connection; the platform's price allows some a second. */
 const MAX_LOOKS_PER_S = 12;
 
@@ -60,6 +63,29 @@
     });
 }
 
+/** Endpoint whose answer to the first look is overtaken by the answers to later ones; a run has ended in between. */
+function endpointWithSlowFirstList(clock: VirtualClock): EndpointControl {
+    let looks = 0;
+    return {
+        ...brokenEndpoint(clock, LookOutcome.Unanswered, () => undefined),
+        look: () => {
+            looks += 1;
+            const first = looks === 1;
+            const list = { bornMs: 1, running: first ? [{ task: "t", run: 1 }] : [], finished: [] };
+            const answer = { outcome: LookOutcome.Listed, clockMs: looks, list };
+            return new Promise(resolve => {
+                clock.schedule(first ? SLOW_ANSWER_MS : ROUND_TRIP_MS, () => resolve(answer));
+            });
+        },
+    };
+}
+
+/** Result of a call that takes less than a slow answer. */
+async function settled<T>(clock: VirtualClock, call: Promise<T>): Promise<T> {
+    await pass(clock, SLOW_ANSWER_MS / 2);
+    return call;
+}
+
 describe("EndpointSession", () => {
     describe("an agent that starts again", () => {
         it("guards against an endpoint that is idle until its next heartbeat", async () => {
@@ -95,6 +121,36 @@
         });
     });
 
+    describe("answers that overtake each other", () => {
+        // A list that shows a run as running after a newer one has shown its end.
+        it("guards against a list that replaces a newer one", async () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(endpointWithSlowFirstList(clock), clock, new SilentLog(), 1);
+            const running: number[] = [];
+            session.onList(({ list }) => {
+                running.push(list.running.length);
+            });
+            session.announce(REPORT);
+            const newer = await settled(clock, session.lookNow());
+            await pass(clock, 2 * SLOW_ANSWER_MS);
+            assert.equal(newer?.running.length, 0);
+            assert.equal(running.includes(1), false);
+            session.dispose();
+        });
+
+        // The clock of a life bounds its leases and starts.
+        it("guards against the clock of an earlier life in the next one", async () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(soundEndpoint(clock, 2), clock, new SilentLog(), 1);
+            session.announce(REPORT);
+            session.announce({ ...REPORT, life: { id: "endpoint", bornMs: 2 } });
+            await pass(clock, 20);
+            session.observe(1_000_000, REPORT);
+            assert.ok((session.clockMs ?? 0) < 1000, `${session.clockMs} ms`);
+            session.dispose();
+        });
+    });
+
     describe("an endpoint that is flapping", () => {
         for (const outcome of [LookOutcome.Unanswered, LookOutcome.Unreachable, LookOutcome.OtherLife]) {
             it(`guards against a loop of looks that each open a connection, answered as ${outcome}`, async () => {
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -61,6 +61,8 @@
     private readonly time: EndpointClock;
     private current: EndpointReport | undefined;
     private acknowledged = 0;
+    /** Time on the endpoint's clock of the newest list. */
+    private listedMs = 0;
     private looking = false;
     private answeredAt = Number.NEGATIVE_INFINITY;
     private renewedAt = Number.NEGATIVE_INFINITY;
@@ -146,9 +148,11 @@
         this.lookOn();
     }
 
-    /** Takes the clock of any answer of the endpoint. */
-    public observe(clockMs: number | undefined): void {
-        this.time.observe(clockMs);
+    /** Takes the clock of an answer to a call that was meant for the life of `report`. */
+    public observe(clockMs: number | undefined, report: EndpointReport | undefined): void {
+        if (report !== undefined && this.current !== undefined && isSameLife(report, this.current)) {
+            this.time.observe(clockMs);
+        }
     }
 
     /** Raises the fence after the endpoint has refused the present one. */
@@ -185,6 +189,7 @@
         this.end("new life of the endpoint", true);
         this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
         this.acknowledged = 0;
+        this.listedMs = 0;
         this.time.reset();
         this.refusals = 0;
         this.misses = 0;
@@ -264,8 +269,7 @@
         }
         this.time.observe(answer.clockMs);
         if (answer.outcome === LookOutcome.Listed && answer.list !== undefined) {
-            this.take({ list: answer.list, sentAt });
-            return answer.list;
+            return this.take({ list: answer.list, sentAt }, answer.clockMs);
         }
         this.miss(answer.outcome, fence);
         return undefined;
@@ -276,7 +280,8 @@
         return this.misses === 0 ? 0 : Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.misses - 1));
     }
 
-    private take(observation: Observation): void {
+    /** Takes a list and returns it; undefined when a newer one has overtaken it. */
+    private take(observation: Observation, clockMs = this.listedMs): RunList | undefined {
         this.answeredAt = this.clock.now();
         this.refusals = 0;
         this.misses = 0;
@@ -285,9 +290,14 @@
             this.gone = false;
             this.log.write(LeaseEvent.EndpointAnswers, { endpoint: this.current?.life.id });
         }
+        if (clockMs < this.listedMs) {
+            return undefined;
+        }
+        this.listedMs = clockMs;
         this.lists.fire(observation);
         const numbers = observation.list.finished.map(finished => finished.number);
         this.acknowledged = Math.max(this.acknowledged, ...numbers);
+        return observation.list;
     }
 
     private miss(outcome: LookOutcome, fence: number): void {
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -73,7 +73,7 @@
             untilMs: Math.min(run.startBeforeMs, this.session.leaseLimitMs),
             timeoutMs: this.latency.timeoutMs,
         });
-        this.session.observe(answer.clockMs);
+        this.session.observe(answer.clockMs, report);
         this.latency.observe(this.clock.now() - sentAt);
         if (!this.isStarting(run) || run.run !== number) {
             return;
@@ -240,9 +240,10 @@
 
     private async callStopOf(task: string, run: number): Promise<StopOutcome> {
         const fence = this.session.fence;
-        const endpoint = this.session.report?.life.id ?? "";
+        const { report } = this.session;
+        const endpoint = report?.life.id ?? "";
         const answer = await this.session.control.stop({ endpoint, fence, task, run, timeoutMs: STOP_TIMEOUT_MS });
-        this.session.observe(answer.clockMs);
+        this.session.observe(answer.clockMs, report);
         if (answer.outcome === StopOutcome.Fenced) {
             this.session.raiseFence(fence);
         }
