--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -11,6 +11,7 @@
 import { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
 import { isAlike } from "./isAlike.js";
+import { StandstillDetector } from "./StandstillDetector.js";
 
 interface AgentEnds {
     readonly agent: AgentView;
@@ -23,9 +24,12 @@
 /** Controller of the attached agents: tenures, reports, losses, and the spread of routing documents and addresses. */
 export class AgentChannels implements Disposable {
     private readonly views = new Map<string, AgentView>();
+    /** Lost agents whose runs may go on. */
+    private readonly lapsing = new Set<AgentView>();
     private readonly ends = new Emitter<AgentEnds>();
     private readonly losses = new Emitter<AgentView>();
     private readonly loads = new Emitter<AgentView>();
+    private readonly standstill: StandstillDetector;
     private cancelTenure: (() => void) | undefined;
     private checkedAt = 0;
     private waitsForReports = false;
@@ -44,6 +48,7 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
+        this.standstill = new StandstillDetector(clock);
         routes.onChange(document => {
             log.write(EntryLeaseEvent.RoutesTaken, { version: document.version });
             this.sendAll({ kind: "routes", document });
@@ -51,10 +56,20 @@
         this.renewTenures();
     }
 
+    /** Whether the entry stood still just now and may not have read yet what agents and callers sent meanwhile. */
+    public get unread(): boolean {
+        return this.standstill.unread;
+    }
+
     public get(id: string): AgentView | undefined {
         return this.views.get(id);
     }
 
+    /** Whether a run of the task that was ordered here may go on: no agent has told its end, and it has not lapsed. */
+    public mayRun(task: string): boolean {
+        return holds(this.views.values(), task) || holds(this.lapsing, task);
+    }
+
     /** Attaches an agent; an older channel of the same VM is given up. */
     public attach(channel: Channel): void {
         const id = channel.peer.id;
@@ -83,6 +98,7 @@
 
     public dispose(): void {
         this.cancelTenure?.();
+        this.standstill.dispose();
         for (const view of [...this.views.values()]) {
             view.channel.close("entry stops");
         }
@@ -165,6 +181,8 @@
         }
         this.views.delete(view.id);
         this.log.write(EntryLeaseEvent.AgentLost, { agent: view.id, reason, tasks: [...view.tasks] });
+        this.lapsing.add(view);
+        this.clock.schedule(LEASE_TIMES.LOST_RUN_MS, () => this.lapsing.delete(view));
         this.losses.fire(view);
     }
 
@@ -175,6 +193,15 @@
     }
 }
 
+function holds(views: Iterable<AgentView>, task: string): boolean {
+    for (const view of views) {
+        if (view.tasks.has(task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 function isSilent(view: AgentView, now: number): boolean {
     const limitMs = view.tasks.size > 0 ? LEASE_TIMES.AGENT_SILENCE_MS : LEASE_TIMES.IDLE_AGENT_SILENCE_MS;
     return view.current !== undefined && view.ageMs(now) > limitMs;
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -28,6 +28,10 @@
 
     /** Gives tasks that are ready to agents, job by job, as far as the placement finds any. */
     public place(jobs: readonly LeasedJob[], now: number): void {
+        // A task whose caller has left may run elsewhere again, so the ends of callers are read before anything is started.
+        if (this.channels.unread) {
+            return;
+        }
         const accepting = [...this.channels.agents]
             .filter(agent => agent.accepting && agent.ageMs(now) <= LEASE_TIMES.FRESH_REPORT_MS);
         for (const job of jobs) {
@@ -47,6 +51,10 @@
             if (agent === undefined) {
                 break;
             }
+            // A task that may run belongs to an earlier submission of its job, which was given up.
+            if (this.channels.mayRun(task.name)) {
+                continue;
+            }
             chosen.add(agent.id);
             this.assign(task, agent, step, batches, now);
         }
