--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -28,8 +28,11 @@
 const FIRST_RETRY_MS = 40;
 const MAX_RETRY_MS = 160;
 
-/** Refused connections in a row after which the endpoint's process is taken as ended. */
-const REFUSALS_UNTIL_GONE = 2;
+/**
+ * Time from a refused connection to the next refused one, with nothing else between them, after which the endpoint's
+ * process is taken as ended. A reset of connections also refuses those that are being opened at that moment.
+ */
+const REFUSED_MS = 30;
 
 /** Leases end this much after the last renewal that may have arrived: lease on the slowest clock, and a margin. */
 const LAPSE_MS = LEASE_TIMES.LEASE_MS / LEASE_TIMES.CLOCK_RATE + 30;
@@ -66,7 +69,8 @@
     private looking = false;
     private answeredAt = Number.NEGATIVE_INFINITY;
     private renewedAt = Number.NEGATIVE_INFINITY;
-    private refusals = 0;
+    /** When the first of the refused looks in a row was refused. */
+    private refusedAt: number | undefined;
     /** Looks in a row that were not answered with a list. */
     private misses = 0;
     private gone = true;
@@ -191,7 +195,7 @@
         this.acknowledged = 0;
         this.listedMs = 0;
         this.time.reset();
-        this.refusals = 0;
+        this.refusedAt = undefined;
         this.misses = 0;
     }
 
@@ -271,7 +275,7 @@
         if (answer.outcome === LookOutcome.Listed && answer.list !== undefined) {
             return this.take({ list: answer.list, sentAt }, answer.clockMs);
         }
-        this.miss(answer.outcome, fence);
+        this.miss(answer.outcome, fence, sentAt);
         return undefined;
     }
 
@@ -283,7 +287,7 @@
     /** Takes a list and returns it; undefined when a newer one has overtaken it. */
     private take(observation: Observation, clockMs = this.listedMs): RunList | undefined {
         this.answeredAt = this.clock.now();
-        this.refusals = 0;
+        this.refusedAt = undefined;
         this.misses = 0;
         this.recalled = false;
         if (this.gone) {
@@ -300,7 +304,7 @@
         return observation.list;
     }
 
-    private miss(outcome: LookOutcome, fence: number): void {
+    private miss(outcome: LookOutcome, fence: number, sentAt: number): void {
         this.misses += 1;
         if (this.misses === 1) {
             this.log.write(LeaseEvent.LookMissed, { endpoint: this.current?.life.id, outcome });
@@ -309,9 +313,9 @@
             this.raiseFence(fence);
             return;
         }
-        this.refusals = outcome === LookOutcome.Unreachable ? this.refusals + 1 : 0;
+        this.refusedAt = outcome === LookOutcome.Unreachable ? this.refusedAt ?? this.clock.now() : undefined;
         const lapsed = this.clock.now() - this.answeredAt > LAPSE_MS && this.clock.now() - this.renewedAt > LAPSE_MS;
-        if (this.refusals >= REFUSALS_UNTIL_GONE) {
+        if (this.refusedAt !== undefined && sentAt - this.refusedAt >= REFUSED_MS) {
             this.end("connection refused");
         }
         else if (outcome === LookOutcome.OtherLife) {
