Notice a suspended machine when tasks are started again

Callers could see two runs of one task (TWICE) as after a standstill: an entry whose machine was suspended for longer than 1300 ms started tasks again whose callers had left meanwhile.

Why it works: the time of day counts the suspension, so a gap in either clock counts. A step of the time of day costs the entry 30 ms in which it places nothing. Clocks of tests that know no suspension have no time of day and behave as before.

Ruled out by reading: orders on reports from before the suspension. Their window is reckoned on a clock that is behind by the suspension, so it has passed at the endpoint. What remains: the deadline of a job is later by the suspension, so where the end of a caller's connection never arrives, the entry goes on with its job for so long.

--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -4,4 +4,9 @@
     now(): number;
     /** Runs `callback` once after `delayMs` milliseconds; the returned function cancels it. */
     schedule(delayMs: number, callback: () => void): () => void;
+    /**
+     * Returns the time of day in milliseconds, which may step, but counts the time for which the machine was suspended.
+     * Absent where nothing can be suspended.
+     */
+    timeOfDay?(): number;
 }
--- a/src/common/SystemClock.ts
+++ b/src/common/SystemClock.ts
@@ -6,6 +6,10 @@
         return performance.now();
     }
 
+    public timeOfDay(): number {
+        return Date.now();
+    }
+
     public schedule(delayMs: number, callback: () => void): () => void {
         const timer = setTimeout(callback, Math.max(0, delayMs));
         return () => {
--- a/src/entry/leased/LeasedEntry.test.ts
+++ b/src/entry/leased/LeasedEntry.test.ts
@@ -103,19 +103,20 @@
 
 describe("LeasedEntry", () => {
     describe("an entry that stood still", () => {
-        for (const first of ["timers", "sockets"] as const) {
-            it(`guards against a task that is started again before its caller is seen to have left, ${first} first`, () => {
+        const ways: Readonly<Record<string, (clock: StallingClock) => void>> = {
+            "timers run first": clock => clock.pass(STANDSTILL_MS),
+            "sockets are read first": clock => clock.stand(STANDSTILL_MS),
+            "its machine was suspended": clock => clock.suspend(STANDSTILL_MS),
+        };
+
+        for (const [name, standStill] of Object.entries(ways)) {
+            it(`guards against a task that is started again before its caller is seen to have left: ${name}`, () => {
                 const { clock, entry, submit } = createEntry();
                 const agent = new AttachedAgent(entry, "a");
                 const leave = submit();
                 clock.pass(1);
                 assert.deepEqual(agent.ordered, [`${TASK}/1`]);
-                if (first === "timers") {
-                    clock.pass(STANDSTILL_MS);
-                }
-                else {
-                    clock.stand(STANDSTILL_MS);
-                }
+                standStill(clock);
                 agent.end({ run: 1, result: RunResult.Stopped });
                 agent.report();
                 // The end of the caller's connection is read in the first turn of the event loop and told in the next.
--- a/src/entry/leased/StandstillDetector.ts
+++ b/src/entry/leased/StandstillDetector.ts
@@ -18,31 +18,44 @@
 const LOOKS_UNTIL_READ = 3;
 const READ_INTERVAL_MS = 10;
 
-/** Tells whether the process stood still just now: what arrived meanwhile, as the end of callers, may not have been read. */
+/**
+ * Tells whether the process stood still just now: what arrived meanwhile, as the end of callers, may not have been read. The
+ * time of day shows a suspended machine, which the steady clock does not count; a step of it costs a short wait.
+ */
 export class StandstillDetector implements Disposable {
-    private lookedAt: number;
+    private lookedAt = 0;
+    private lookedAtTimeOfDay = 0;
     private looksLeft = 0;
     private cancelLook: () => void;
 
     constructor(private readonly clock: Clock) {
-        this.lookedAt = clock.now();
-        this.cancelLook = this.lookLater();
+        this.cancelLook = this.lookAgain();
     }
 
     public get unread(): boolean {
-        return this.looksLeft > 0 || this.clock.now() - this.lookedAt > MAX_GAP_MS;
+        return this.looksLeft > 0 || this.stoodStill();
     }
 
     public dispose(): void {
         this.cancelLook();
     }
 
-    private lookLater(): () => void {
+    /** Notes the time, and looks whether the process stood still when it is time to do so again. */
+    private lookAgain(): () => void {
+        this.lookedAt = this.clock.now();
+        this.lookedAtTimeOfDay = this.timeOfDay();
         return this.clock.schedule(this.looksLeft > 0 ? READ_INTERVAL_MS : LOOK_INTERVAL_MS, () => {
-            const now = this.clock.now();
-            this.looksLeft = now - this.lookedAt > MAX_GAP_MS ? LOOKS_UNTIL_READ : Math.max(0, this.looksLeft - 1);
-            this.lookedAt = now;
-            this.cancelLook = this.lookLater();
+            this.looksLeft = this.stoodStill() ? LOOKS_UNTIL_READ : Math.max(0, this.looksLeft - 1);
+            this.cancelLook = this.lookAgain();
         });
     }
+
+    private stoodStill(): boolean {
+        const gapMs = Math.max(this.clock.now() - this.lookedAt, this.timeOfDay() - this.lookedAtTimeOfDay);
+        return gapMs > MAX_GAP_MS;
+    }
+
+    private timeOfDay(): number {
+        return this.clock.timeOfDay?.() ?? 0;
+    }
 }
--- a/src/test/StallingClock.ts
+++ b/src/test/StallingClock.ts
@@ -8,12 +8,17 @@
 /** Clock of a process that can stand still: timers that became due meanwhile fire late, once it goes on. */
 export class StallingClock implements Clock {
     private time = 0;
+    private suspendedMs = 0;
     private timers: readonly Timer[] = [];
 
     public now(): number {
         return this.time;
     }
 
+    public timeOfDay(): number {
+        return this.time + this.suspendedMs;
+    }
+
     public schedule(delayMs: number, callback: () => void): () => void {
         const timer = { at: this.time + delayMs, callback };
         this.timers = [...this.timers, timer];
@@ -34,6 +39,11 @@
         }
     }
 
+    /** Suspends the machine, which the steady clock does not count. */
+    public suspend(ms: number): void {
+        this.suspendedMs += ms;
+    }
+
     /** Lets time pass without firing anything. */
     public stand(ms: number): void {
         this.time += ms;
