Show a second run beside a listed run that no entry has ordered

Two of the three tests fail on and on: the agent stops a listed run of an earlier process, but takes an order of the same task meanwhile.

- The stop is taken: run 1 at endpoint-0 from 502 to 659 ms, run 2 there from 621 ms.
- The stop is lost: run 2 at endpoint-0 from 502 ms, run 1 there from 611 ms.

Cause: nothing keeps a task from being started that the newest list shows under another number, because strangers are not in the table of runs. The third test passes on both: numbers rise by one, so they meet the number of the run that made them old before they pass it, and the endpoint answers that this run is there.

--- /dev/null
+++ b/src/agent/leased/RunReconciler.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CallFate } from "../../emulator/CallFate.js";
+import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import { findOverlap } from "../../emulator/findOverlap.js";
+import type { RunRecord } from "../../emulator/RunRecord.js";
+
+const ID = "00000000000000aa";
+
+/** Time until endpoints, agents and entries know each other; then the run of the earlier process begins. */
+const LEAD_MS = 500;
+
+const RUN_MS = 1000;
+
+/** How long the first run of the job takes at endpoint 1, where it fails. */
+const FAILURE_MS = 5;
+
+interface Play {
+    /** Number of the run that an earlier process of agent 0 has started. */
+    readonly stranger: number;
+    /** Fate of the first stop at endpoint 0. */
+    readonly firstStop: CallFate;
+    /** Whether the job's first run fails at endpoint 1, so that the order for endpoint 0 has a number above the stranger's. */
+    readonly failsFirst: boolean;
+}
+
+/** Submits the job when agent 0 has seen a run of its task that no entry has ordered, and has sent a stop for it. */
+async function playStranger({ stranger, firstStop, failsFirst }: Play): Promise<readonly RunRecord[]> {
+    let stops = 0;
+    const deployment = new EmulatedDeployment({
+        entries: 1,
+        agents: 2,
+        seed: 1,
+        cpu: 64_000,
+        taskCpu: 6000,
+        work: (_task, endpoint) => endpoint === 0 ? { ms: RUN_MS, how: "done" } : { ms: FAILURE_MS, how: "failed" },
+        fate: call => {
+            stops += call === "stop" ? 1 : 0;
+            return call === "stop" && stops === 1 ? firstStop : CallFate.Answered;
+        },
+    });
+    deployment.announce(failsFirst ? 0 : 1, 1, 2, true);
+    await deployment.advance(LEAD_MS);
+    void deployment.endpoints[0]?.start({
+        endpoint: "endpoint-0",
+        fence: 1,
+        task: `${ID}.0.0.0`,
+        run: stranger,
+        spec: "spec",
+        untilMs: LEAD_MS + 400,
+        timeoutMs: 40,
+    });
+    while (stops === 0) {
+        await deployment.advance(1);
+    }
+    void deployment.submit(0, ID, 1, RUN_MS);
+    await deployment.advance(FAILURE_MS);
+    deployment.announce(0, 1, 3);
+    await deployment.advance(2 * RUN_MS);
+    return deployment.records;
+}
+
+describe("RunReconciler", () => {
+    describe("a listed run that no entry here has ordered", () => {
+        // A start under a higher number begins a second run, because nothing has made that number old.
+        it("guards against a run under a higher number beside one that is being stopped", async () => {
+            const records = await playStranger({ stranger: 1, firstStop: CallFate.Answered, failsFirst: true });
+            assert.equal(findOverlap(records), undefined);
+            assert.equal(records.at(-1)?.how, "done");
+        });
+
+        // The endpoint knows of no stop, so a start under any other number begins a second run.
+        it("guards against a run under a lower number beside one whose stop is lost", async () => {
+            const records = await playStranger({ stranger: 2, firstStop: CallFate.Lost, failsFirst: false });
+            assert.equal(findOverlap(records), undefined);
+        });
+
+        // The numbers after the rejected one pass the number of the run that made it old.
+        it("guards against a run after rejected starts beside one that is being stopped", async () => {
+            const records = await playStranger({ stranger: 2, firstStop: CallFate.Answered, failsFirst: false });
+            assert.equal(findOverlap(records), undefined);
+        });
+    });
+});
