Keep the test of a listed run from starting the task at another endpoint

Cause: the first test of RunReconciler.test.ts let the job fail at endpoint 1 first, while the run at endpoint 0 was still there.

Change: endpoint 1 refuses connections in place of running the task, so the order for endpoint 0 has a higher number without another run.

--- a/src/agent/leased/RunReconciler.test.ts
+++ b/src/agent/leased/RunReconciler.test.ts
@@ -12,20 +12,20 @@
 
 const RUN_MS = 1000;
 
-/** How long the first run of the job takes at endpoint 1, where it fails. */
-const FAILURE_MS = 5;
+/** How long all orders go to endpoint 1, which refuses connections. */
+const REFUSING_MS = 5;
 
 interface Play {
     /** Number of the run that an earlier process of agent 0 has started. */
     readonly stranger: number;
     /** Fate of the first stop at endpoint 0. */
     readonly firstStop: CallFate;
-    /** Whether the job's first run fails at endpoint 1, so that the order for endpoint 0 has a number above the stranger's. */
-    readonly failsFirst: boolean;
+    /** Whether starts at endpoint 1 are refused first, so that the order for endpoint 0 has a number above the stranger's. */
+    readonly refusedFirst: boolean;
 }
 
 /** Submits the job when agent 0 has seen a run of its task that no entry has ordered, and has sent a stop for it. */
-async function playStranger({ stranger, firstStop, failsFirst }: Play): Promise<readonly RunRecord[]> {
+async function playStranger({ stranger, firstStop, refusedFirst }: Play): Promise<readonly RunRecord[]> {
     let stops = 0;
     const deployment = new EmulatedDeployment({
         entries: 1,
@@ -33,13 +33,14 @@
         seed: 1,
         cpu: 64_000,
         taskCpu: 6000,
-        work: (_task, endpoint) => endpoint === 0 ? { ms: RUN_MS, how: "done" } : { ms: FAILURE_MS, how: "failed" },
+        work: () => ({ ms: RUN_MS, how: "done" }),
+        refusesWhileDown: true,
         fate: call => {
             stops += call === "stop" ? 1 : 0;
             return call === "stop" && stops === 1 ? firstStop : CallFate.Answered;
         },
     });
-    deployment.announce(failsFirst ? 0 : 1, 1, 2, true);
+    deployment.announce(refusedFirst ? 0 : 1, 1, 2, true);
     await deployment.advance(LEAD_MS);
     void deployment.endpoints[0]?.start({
         endpoint: "endpoint-0",
@@ -53,8 +54,11 @@
     while (stops === 0) {
         await deployment.advance(1);
     }
+    if (refusedFirst) {
+        deployment.endpoints[1]?.crash();
+    }
     void deployment.submit(0, ID, 1, RUN_MS);
-    await deployment.advance(FAILURE_MS);
+    await deployment.advance(REFUSING_MS);
     deployment.announce(0, 1, 3);
     await deployment.advance(2 * RUN_MS);
     return deployment.records;
@@ -64,20 +68,20 @@
     describe("a listed run that no entry here has ordered", () => {
         // A start under a higher number begins a second run, because nothing has made that number old.
         it("guards against a run under a higher number beside one that is being stopped", async () => {
-            const records = await playStranger({ stranger: 1, firstStop: CallFate.Answered, failsFirst: true });
+            const records = await playStranger({ stranger: 1, firstStop: CallFate.Answered, refusedFirst: true });
             assert.equal(findOverlap(records), undefined);
             assert.equal(records.at(-1)?.how, "done");
         });
 
         // The endpoint knows of no stop, so a start under any other number begins a second run.
         it("guards against a run under a lower number beside one whose stop is lost", async () => {
-            const records = await playStranger({ stranger: 2, firstStop: CallFate.Lost, failsFirst: false });
+            const records = await playStranger({ stranger: 2, firstStop: CallFate.Lost, refusedFirst: false });
             assert.equal(findOverlap(records), undefined);
         });
 
         // The numbers after the rejected one pass the number of the run that made it old.
         it("guards against a run after rejected starts beside one that is being stopped", async () => {
-            const records = await playStranger({ stranger: 2, firstStop: CallFate.Answered, failsFirst: false });
+            const records = await playStranger({ stranger: 2, firstStop: CallFate.Answered, refusedFirst: false });
             assert.equal(findOverlap(records), undefined);
         });
     });
