Model the settling of unanswered starts

Five seeded faults: RESTART_WITHOUT_LIST (the incident's), LIST_BEFORE_STOP, LIST_OF_ANOTHER_LIFE, NO_NEW_FENCE, EARLY_LATE_STARTS.

--- a/scripts/checkModel.mjs
+++ b/scripts/checkModel.mjs
@@ -58,6 +58,17 @@
             "RENEW_WHILE_STOPPING",
         ]],
     },
+    {
+        name: "settle",
+        variants: [[]],
+        faults: [
+            ["RESTART_WITHOUT_LIST"],
+            ["LIST_OF_ANOTHER_LIFE"],
+            ["LIST_BEFORE_STOP"],
+            ["NO_NEW_FENCE"],
+            ["EARLY_LATE_STARTS"],
+        ],
+    },
 ];
 
 /** Compiles one variant and searches it; returns whether the search was complete and the violation it found, if any. */
