Let starts under way settle themselves when connections are refused

Callers could get a task run at two endpoints when an endpoint crashed and started again under its id.

Cause: two refused looks end the life, and the agent gave every run back at once, also one whose start was under way. That start reached the next life and was answered as started, while the entry placed the task again.

Answered as started, it goes on in the next life; unanswered and the endpoint still gone, it counts as ended with the endpoint.

Weighed: keeping runs that are being settled as well until the endpoint is back. An endpoint that never comes back would hold their jobs until the deadline.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -104,6 +104,11 @@
         return this.fenceNumber;
     }
 
+    /** Whether the life or all of its leases have ended, and no answer has come since. */
+    public get isGone(): boolean {
+        return this.gone;
+    }
+
     /** Whether the endpoint answered lately and can be given work. */
     public get alive(): boolean {
         const answers = this.clock.now() - this.answeredAt < LOOK_WAIT_MS + 2 * LOOK_SLACK_MS;
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -188,6 +188,10 @@
         if (!this.isStarting(run)) {
             return;
         }
+        if (this.session.isGone) {
+            this.owner.finish(run, RunResult.Stopped, "endpoint lost");
+            return;
+        }
         run.restart = run.abortReason === undefined;
         run.phase = RunPhase.Stopping;
         this.sendStop(run);
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -224,7 +224,10 @@
         this.startWaiting();
     }
 
-    /** Ends all runs. Those that may have been started in the life that has replaced theirs are ruled out there first. */
+    /**
+     * Ends all runs. Those that may have been started in the life that has replaced theirs are ruled out there first; starts that
+     * are not answered yet may reach the next life, so their answers settle them.
+     */
     private endAll(reason: string, replaced: boolean): void {
         this.slowness.reset();
         this.stalls.reset();
@@ -236,6 +239,9 @@
                 this.calls.ruleOut(run, reason);
                 continue;
             }
+            if (run.phase === RunPhase.Starting) {
+                continue;
+            }
             this.finish(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
         }
     }
