Split the missed looks out of EndpointSession

The count of missed looks, their spacing and the refused connections in a row are a class of their own. A comment said that two lost looks leave the lease in force; with the lease of 640 ms (and with 680) it is one. Behaviour unchanged; tests of src/agent/leased and playFaults pass.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -10,30 +10,18 @@
 import { isSameLife } from "./isSameLife.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import { LookOutcome } from "./LookOutcome.js";
+import { MissedLooks } from "./MissedLooks.js";
 import type { RunList } from "./RunList.js";
 
 /** How long a look waits for an end; it renews the lease when it is sent. */
 const LOOK_WAIT_MS = 200;
 
-/** Time beyond its wait after which a look is taken as lost. Two lost looks in a row leave the lease in force. */
+/** Time beyond its wait after which a look is taken as lost. One lost look leaves the lease in force. */
 const LOOK_SLACK_MS = 120;
 
 /** Time from a look that showed ends to the next one, which collects the ends of other runs meanwhile. */
 const COLLECT_MS = 10;
 
-/**
- * Least time between the starts of two looks that were refused or broken off: the first, and the longest after it has
- * doubled each time. Such a look costs a new connection. Four of them in a row leave the lease in force.
- */
-const FIRST_RETRY_MS = 40;
-const MAX_RETRY_MS = 160;
-
-/**
- * Time from a refused connection to the next refused one, with nothing else between them, after which the endpoint's
- * process is taken as ended. A reset of connections also refuses those that are being opened at that moment.
- */
-const REFUSED_MS = 30;
-
 /** Leases end this much after the last renewal that may have arrived: lease on the slowest clock, and a margin. */
 const LAPSE_MS = LEASE_TIMES.LEASE_MS / LEASE_TIMES.CLOCK_RATE + 30;
 
@@ -62,6 +50,7 @@
     private readonly losses = new Emitter<EndpointLoss>();
     private readonly renewals = new Emitter<undefined>();
     private readonly time: EndpointClock;
+    private readonly missed: MissedLooks;
     private current: EndpointReport | undefined;
     private acknowledged = 0;
     /** Time on the endpoint's clock of the newest list. */
@@ -69,10 +58,6 @@
     private looking = false;
     private answeredAt = Number.NEGATIVE_INFINITY;
     private renewedAt = Number.NEGATIVE_INFINITY;
-    /** When the first of the refused looks in a row was refused. */
-    private refusedAt: number | undefined;
-    /** Looks in a row that were not answered with a list. */
-    private misses = 0;
     private gone = true;
     /** Whether the report is of an earlier process and neither a heartbeat nor an answer has confirmed it. */
     private recalled = false;
@@ -93,6 +78,7 @@
         private fenceNumber: number,
     ) {
         this.time = new EndpointClock(clock);
+        this.missed = new MissedLooks(clock);
     }
 
     /** Last heartbeat of the current life. */
@@ -200,8 +186,7 @@
         this.acknowledged = 0;
         this.listedMs = 0;
         this.time.reset();
-        this.refusedAt = undefined;
-        this.misses = 0;
+        this.missed.reset();
     }
 
     /**
@@ -235,7 +220,7 @@
         while (!this.disposed && this.current !== undefined) {
             const sentAt = this.clock.now();
             const list = await this.look(LOOK_WAIT_MS);
-            const pauseMs = list === undefined ? this.retryMs() - (this.clock.now() - sentAt) : pauseAfter(list);
+            const pauseMs = list === undefined ? this.missed.retryMs - (this.clock.now() - sentAt) : pauseAfter(list);
             if (pauseMs > 0) {
                 await this.pause(pauseMs);
             }
@@ -284,16 +269,10 @@
         return undefined;
     }
 
-    /** Time from the start of a missed look to the next one; none after an answer of another life. */
-    private retryMs(): number {
-        return this.misses === 0 ? 0 : Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.misses - 1));
-    }
-
     /** Takes a list and returns it; undefined when a newer one has overtaken it. */
     private take(observation: Observation, clockMs = this.listedMs): RunList | undefined {
         this.answeredAt = this.clock.now();
-        this.refusedAt = undefined;
-        this.misses = 0;
+        this.missed.reset();
         this.recalled = false;
         if (this.gone) {
             this.gone = false;
@@ -310,17 +289,16 @@
     }
 
     private miss(outcome: LookOutcome, fence: number, sentAt: number): void {
-        this.misses += 1;
-        if (this.misses === 1) {
+        this.missed.add(outcome);
+        if (this.missed.count === 1) {
             this.log.write(LeaseEvent.LookMissed, { endpoint: this.current?.life.id, outcome });
         }
         if (outcome === LookOutcome.Fenced) {
             this.raiseFence(fence);
             return;
         }
-        this.refusedAt = outcome === LookOutcome.Unreachable ? this.refusedAt ?? this.clock.now() : undefined;
         const lapsed = this.clock.now() - this.answeredAt > LAPSE_MS && this.clock.now() - this.renewedAt > LAPSE_MS;
-        if (this.refusedAt !== undefined && sentAt - this.refusedAt >= REFUSED_MS) {
+        if (this.missed.refusedBefore(sentAt)) {
             this.end("connection refused");
         }
         else if (outcome === LookOutcome.OtherLife) {
