Start nothing at an endpoint that is gone, and raise the fence after a farewell

A start that was sent after refused connections had ended the life counted as ended with it when it was not answered, so its task could be placed elsewhere while it took effect: nothing is started now until the endpoint has answered with a list. A life that followed a farewell kept the fence of the earlier one, so late starts took effect in it (new test of EndpointSession, failing before). The text of 8018 also covers rejected starts.

--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -146,6 +146,19 @@
         });
     });
 
+    describe("an endpoint that left and comes back", () => {
+        // A start to the earlier life takes effect in the next one unless that has seen a higher fence.
+        it("guards against a life that is called under the fence of an earlier one", () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(soundEndpoint(clock, 1), clock, new SilentLog(), 1);
+            session.announce(REPORT);
+            session.leave();
+            session.announce({ ...REPORT, life: { id: "endpoint", bornMs: 2 } });
+            assert.equal(session.fence, 2);
+            session.dispose();
+        });
+    });
+
     describe("answers that overtake each other", () => {
         // A list that shows a run as running after a newer one has shown its end.
         it("guards against a list that replaces a newer one", async () => {
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -59,6 +59,7 @@
     private answeredAt = Number.NEGATIVE_INFINITY;
     private renewedAt = Number.NEGATIVE_INFINITY;
     private gone = true;
+    private hadLife = false;
     /** Whether the report is of an earlier process and neither a heartbeat nor an answer has confirmed it. */
     private recalled = false;
     private disposed = false;
@@ -177,10 +178,11 @@
     }
 
     private begin(report: EndpointReport): void {
-        if (this.current !== undefined) {
+        if (this.hadLife) {
             // Calls to the earlier life that are still under way do nothing here once this life has seen the higher fence.
             this.fenceNumber += 1;
         }
+        this.hadLife = true;
         this.end("new life of the endpoint", true);
         this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
         this.acknowledged = 0;
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -29,7 +29,7 @@
     StopRepeated: { number: 8015, level: LogLevel.Warn, text: "stop not confirmed, repeating it" },
     TenureLapsed: { number: 8016, level: LogLevel.Warn, text: "entry not heard in time, stopping its runs" },
     LookMissed: { number: 8017, level: LogLevel.Info, text: "look at the run list not answered with one" },
-    StopSettled: { number: 8018, level: LogLevel.Info, text: "stop of an unconfirmed run taken, run list asked for" },
+    StopSettled: { number: 8018, level: LogLevel.Info, text: "run list asked for, to settle an unconfirmed run" },
     StartRepeated: { number: 8019, level: LogLevel.Info, text: "starting the task again under the next number" },
     EntryAttached: { number: 8020, level: LogLevel.Info, text: "attached to an entry" },
     EntryDetached: { number: 8021, level: LogLevel.Warn, text: "connection to an entry lost" },
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -78,6 +78,10 @@
         if (!this.isStarting(run) || run.run !== number) {
             return;
         }
+        if (this.session.report === undefined) {
+            this.owner.finish(run, RunResult.Stopped, "endpoint left");
+            return;
+        }
         this.startAnswered(run, answer.outcome, fence);
     }
 
--- a/src/agent/leased/Runs.ts
+++ b/src/agent/leased/Runs.ts
@@ -189,7 +189,7 @@
     /** Starts waiting orders, first come first served, as long as they fit. */
     private startWaiting(): void {
         const report = this.session.report;
-        if (report === undefined || this.blocked || this.session.clockMs === undefined) {
+        if (report === undefined || this.blocked || this.session.isGone || this.session.clockMs === undefined) {
             return;
         }
         let free = addResources(report.capacity, this.table.begun, -1);
