Accept each result of a run that an agent reports

Cause: the check of the message `ended` had its own list of results, and `superseded` was missing from it. An agent reports that result to an entry whose run it stops because another entry has ordered the task. The entry refuses the message, closes the connection, counts the agent as lost and places the agent's tasks again 1200 ms later, although another entry runs them. All other tasks of that entry at the agent are stopped as well.

Why tests missed it: emulated connections passed objects on without encoding and checking them.

Why the fix works: the check takes the values of RunResult, Verdict and Role from these objects, and each shape has the type of its message, so a field without a check does not compile. `alive` and the others were compared with their senders: no other field or value is produced and refused. Ruled out: values that are not numbers (slowness, times of runs and clocks are finite by their code).

--- a/src/agent/leased/EndpointRuns.test.ts
+++ b/src/agent/leased/EndpointRuns.test.ts
@@ -92,6 +92,30 @@
         });
     });
 
+    describe("an agent that reports to an entry that its run was superseded", () => {
+        // The entry closes the connection to an agent whose message it refuses, and starts its tasks elsewhere later.
+        it("guards against an older entry that refuses the report and starts the task at another endpoint", async () => {
+            const deployment = new EmulatedDeployment({
+                ...SETUP,
+                entries: 2,
+                agents: 2,
+                work: () => ({ ms: 3000, how: "done" }),
+            });
+            deployment.deliverHeartbeat(1, 1, 2, true);
+            await deployment.advance(500);
+            const former = deployment.submit(0, ID, 1, 3000, undefined, 8000);
+            await deployment.advance(100);
+            const outcome = deployment.submit(1, ID, 1, 3000, undefined, 8000);
+            await deployment.advance(500);
+            deployment.deliverHeartbeat(1, 1, 3);
+            await deployment.advance(3500);
+            assert.equal(findOverlappingRuns(deployment.records), undefined);
+            assert.deepEqual(deployment.links.filter(link => !link.atEntry.open), []);
+            assert.equal((await outcome).kind, "completed");
+            assert.equal((await former).kind, "refused");
+        });
+    });
+
     describe("an endpoint that restarts under its id", () => {
         for (const bornMs of [0, 2]) {
             it(`guards against an incarnation that is not used before its heartbeat, or never, started at ${bornMs}`, async () => {
--- a/src/common/wire/FrameCodec.test.ts
+++ b/src/common/wire/FrameCodec.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { Fault } from "../Fault.js";
 import { FaultCode } from "../FaultCode.js";
+import { RunResult } from "../leased/RunResult.js";
 import { decodeMessage } from "./decodeMessage.js";
 import { FrameCodec } from "./FrameCodec.js";
 
@@ -135,6 +136,19 @@
         );
     });
 
+    for (const result of Object.values(RunResult)) {
+        // An entry closes the connection to an agent whose report it refuses, and counts the agent as lost.
+        it(`guards against refusing a result that an agent reports: ${result}`, () => {
+            const runs = [{ task: "t", run: 1, result, ranMs: 1, reason: "r" }];
+            assert.ok(decodeMessage({ kind: "ended", runs }).isRight());
+        });
+    }
+
+    it("guards against accepting a result that does not exist", () => {
+        const runs = [{ task: "t", run: 1, result: "toString", ranMs: 1, reason: "r" }];
+        assert.ok(decodeMessage({ kind: "ended", runs }).isLeft());
+    });
+
     it("guards against accepting the name of an Object.prototype property as a kind", () => {
         for (const kind of ["__proto__", "constructor", "toString", "hasOwnProperty"]) {
             assert.ok(decodeMessage({ kind }).isLeft());
--- a/src/common/wire/decodeMessage.ts
+++ b/src/common/wire/decodeMessage.ts
@@ -1,10 +1,23 @@
 import { type Either, Left, Right } from "purify-ts/Either";
 import { Fault } from "../Fault.js";
 import { FaultCode } from "../FaultCode.js";
+import type { EndpointStatus } from "../leased/EndpointStatus.js";
+import type { Resources } from "../leased/Resources.js";
+import type { Route } from "../leased/Route.js";
+import type { RoutingDocument } from "../leased/RoutingDocument.js";
+import type { RunCompletion } from "../leased/RunCompletion.js";
+import { RunResult } from "../leased/RunResult.js";
+import { Verdict } from "../Verdict.js";
+import type { Member } from "./Member.js";
 import type { Message } from "./Message.js";
+import type { MessageOf } from "./MessageOf.js";
+import type { Outcome } from "./Outcome.js";
+import { Role } from "./Role.js";
+import type { TaskRecord } from "./TaskRecord.js";
 
 type Check = (value: unknown) => boolean;
-type Shape = Readonly<Record<string, Check>>;
+/** One check for each field of `T`, so that a new field does not compile without one. */
+type Shape<T> = { readonly [Field in keyof T]-?: Check; };
 
 const isString: Check = value => typeof value === "string";
 const isBoolean: Check = value => typeof value === "boolean";
@@ -17,24 +30,26 @@
     return value => value === undefined || value === null || check(value);
 }
 
-function oneOf(...values: readonly string[]): Check {
-    return value => typeof value === "string" && values.includes(value);
+/** Accepts every value of a constant object. */
+function valueOf(constants: Readonly<Record<string, string>>): Check {
+    const values = new Set<unknown>(Object.values(constants));
+    return value => values.has(value);
 }
 
 function listOf(check: Check): Check {
     return value => Array.isArray(value) && value.every(check);
 }
 
-function shapeOf(shape: Shape): Check {
-    const fields = Object.entries(shape);
+function shapeOf<T>(shape: Shape<T>): Check {
+    const fields = Object.entries<Check>(shape);
     return value => isRecord(value) && fields.every(([name, check]) => check(value[name]));
 }
 
-const VERDICT = oneOf("not_run", "may_have_run", "ran");
-const ERROR = optional(shapeOf({ code: isString, message: isString }));
+const VERDICT = valueOf(Verdict);
+const ERROR = optional(shapeOf<NonNullable<Outcome["error"]>>({ code: isString, message: isString }));
 const TICKET_KEY = { issuer: isString, sequence: isCount };
 const ATTEMPT = { ...TICKET_KEY, task: isCount, attempt: isCount };
-const OUTCOME = shapeOf({
+const OUTCOME = shapeOf<Outcome>({
     task: isCount,
     attempt: isCount,
     verdict: VERDICT,
@@ -43,7 +58,7 @@
     error: ERROR,
     runMs: isNumber,
 });
-const MEMBER = shapeOf({
+const MEMBER = shapeOf<Member>({
     id: isString,
     address: isString,
     incarnation: isString,
@@ -54,8 +69,8 @@
     revision: isCount,
 });
 
-const RESOURCES = shapeOf({ cpu: isNumber, memoryMb: isNumber, gpu: isNumber });
-const ENDPOINT_STATUS = shapeOf({
+const RESOURCES = shapeOf<Resources>({ cpu: isNumber, memoryMb: isNumber, gpu: isNumber });
+const ENDPOINT_STATUS = shapeOf<EndpointStatus>({
     service: isString,
     endpoint: isString,
     labels: listOf(isString),
@@ -65,7 +80,7 @@
     slowness: isNumber,
     clockMs: isNumber,
 });
-const ROUTE = shapeOf({
+const ROUTE = shapeOf<Route>({
     name: isString,
     host: isString,
     prefix: isString,
@@ -77,19 +92,19 @@
     stretch: isNumber,
     advised: isBoolean,
 });
-const RUN_COMPLETION = shapeOf({
+const RUN_COMPLETION = shapeOf<RunCompletion>({
     task: isString,
     run: isCount,
-    result: oneOf("done", "failed", "stopped", "not_started", "refused"),
+    result: valueOf(RunResult),
     ranMs: isNumber,
     reason: isString,
 });
 
 /** Field checks of each message kind. */
-const SHAPES: Readonly<Record<Message["kind"], Shape>> = {
+const SHAPES: { readonly [Kind in Message["kind"]]: Shape<Omit<MessageOf<Kind>, "kind">>; } = {
     hello: {
         version: isCount,
-        role: oneOf("entry", "agent"),
+        role: valueOf(Role),
         id: isString,
         incarnation: isString,
         region: isString,
@@ -119,7 +134,7 @@
         ...TICKET_KEY,
         complete: isBoolean,
         digest: optional(isString),
-        tasks: listOf(shapeOf({ task: isCount, attempt: isCount, outcome: optional(OUTCOME) })),
+        tasks: listOf(shapeOf<TaskRecord>({ task: isCount, attempt: isCount, outcome: optional(OUTCOME) })),
     },
     fenced: { issuer: isString },
     heartbeat: { load: isCount, revision: isCount, section: optional(isCount) },
@@ -134,14 +149,20 @@
     pull: { since: isCount },
     configuration: {
         revision: isCount,
-        sections: listOf(shapeOf({ team: isString, revision: isCount, body: isAnything })),
+        sections: listOf(
+            shapeOf<MessageOf<"configuration">["sections"][number]>({
+                team: isString,
+                revision: isCount,
+                body: isAnything,
+            }),
+        ),
         partial: optional(isBoolean),
     },
     call: { id: isCount, method: isString, body: isAnything },
     reply: {
         id: isCount,
         body: isAnything,
-        fault: optional(shapeOf({
+        fault: optional(shapeOf<NonNullable<MessageOf<"reply">["fault"]>>({
             code: isString,
             message: isString,
             verdict: VERDICT,
@@ -154,7 +175,7 @@
         order: isCount,
         job: isString,
         spec: isString,
-        tasks: listOf(shapeOf({ name: isString, run: isCount })),
+        tasks: listOf(shapeOf<MessageOf<"run">["tasks"][number]>({ name: isString, run: isCount })),
         need: RESOURCES,
         estimateMs: isNumber,
         startBeforeMs: isNumber,
@@ -165,7 +186,7 @@
     load: { condition: ENDPOINT_STATUS, orders: isCount, tenured: isBoolean },
     ended: { runs: listOf(RUN_COMPLETION) },
     routes: {
-        document: shapeOf({ version: isNumber, routes: listOf(ROUTE), maxBodyBytes: isNumber }),
+        document: shapeOf<RoutingDocument>({ version: isNumber, routes: listOf(ROUTE), maxBodyBytes: isNumber }),
     },
     entries: { addresses: listOf(isString) },
 };
@@ -179,7 +200,7 @@
     if (!Object.hasOwn(SHAPES, kind)) {
         return Left(new Fault(FaultCode.Protocol, `message kind ${JSON.stringify(kind.slice(0, 40))} is unknown`));
     }
-    const shape = SHAPES[kind as Message["kind"]];
+    const shape: Readonly<Record<string, Check>> = SHAPES[kind as Message["kind"]];
     const invalidField = Object.keys(shape).find(name => shape[name]?.(value[name]) === false);
     return invalidField === undefined
         ? Right(value as unknown as Message)
--- a/src/emulator/EmulatedChannel.ts
+++ b/src/emulator/EmulatedChannel.ts
@@ -1,10 +1,15 @@
 import type { Clock } from "../common/Clock.js";
 import { Emitter } from "../common/Emitter.js";
 import type { Channel } from "../common/wire/Channel.js";
+import { decodeMessage } from "../common/wire/decodeMessage.js";
+import { FrameCodec } from "../common/wire/FrameCodec.js";
 import type { Identity } from "../common/wire/Identity.js";
 import type { Message } from "../common/wire/Message.js";
 
-/** One end of an in-memory connection. Messages arrive in order after a fixed delay. */
+/**
+ * One end of an in-memory connection. Messages arrive in order after a fixed delay, encoded and checked as on a
+ * connection between processes. A message that the check refuses throws, so that it fails the test.
+ */
 export class EmulatedChannel implements Channel {
     public open = true;
     /** While true, messages from this end and its close are lost, as in a network partition. */
@@ -38,7 +43,8 @@
 
     public send(message: Message): boolean {
         if (this.open && !this.dropsMessages) {
-            this.clock.schedule(this.delayMs, () => this.remote?.deliver(message));
+            const frame = FrameCodec.encode(message);
+            this.clock.schedule(this.delayMs, () => this.remote?.deliver(frame));
         }
         return this.open;
     }
@@ -58,9 +64,17 @@
         this.close("disposed");
     }
 
-    private deliver(message: Message): void {
-        if (this.open) {
-            this.messages.fire(message);
+    private deliver(frame: Buffer): void {
+        if (!this.open) {
+            return;
+        }
+        for (const value of new FrameCodec().push(frame)) {
+            decodeMessage(value).caseOf({
+                Left: fault => {
+                    throw fault;
+                },
+                Right: message => this.messages.fire(message),
+            });
         }
     }
 }
