Log reported ends that a run list contradicts, and which agent a task comes back from

No line showed when that evidence was wrong: a run that is listed after its end was reported counted as an orphan (8014), as one of an earlier agent process does, an entry passed over ends that it did not expect without a line, and 8505 did not name the agent.

- 8026 (warning): a list that was requested after the report of an end shows a run of that task.
It is written before the run is stopped as an orphan.
- 8509 (warning): an end of a run of an open job that its agent does not have any more.
- 8505 has `agent`; a task of a lost agent comes back as "agent lost, its leases have expired", which says that time alone decided.

The warnings are counted as events.8026 and events.8509. No decision changes. Tests: ReportedEnds.test.ts; the tests of src/entry/leased and EndpointRuns pass.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -14,6 +14,7 @@
 import { EndpointStallDetector } from "./EndpointStallDetector.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
+import { ReportedEnds } from "./ReportedEnds.js";
 import { RunCalls } from "./RunCalls.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
@@ -50,6 +51,7 @@
     private readonly calls: RunCalls;
     private readonly reconciler: RunReconciler;
     private readonly stalls: EndpointStallDetector;
+    private readonly reportedEnds: ReportedEnds;
     /**
      * Whether starts wait for the next run list, because the endpoint had less free capacity than the agent calculated.
      */
@@ -72,6 +74,7 @@
         private readonly log: Log,
     ) {
         this.stalls = new EndpointStallDetector(clock);
+        this.reportedEnds = new ReportedEnds(clock);
         this.checkTimer = new CoalescingTimer(clock, () => {
             this.check();
         });
@@ -224,6 +227,7 @@
 
     private handleList(list: RunList, sentAt: number): void {
         this.startsBlocked = false;
+        this.checkReportedEnds(list, sentAt);
         this.reconciler.apply(list, sentAt);
         const hasOrphans = list.running.some(({ task }) => this.table.get(task) === undefined);
         this.orphanedSinceMs = hasOrphans
@@ -232,6 +236,18 @@
         this.startWaiting();
     }
 
+    /** Logs the reports of ended runs that a list requested at `sentAt` contradicts. */
+    private checkReportedEnds(list: RunList, sentAt: number): void {
+        for (const { task, run } of list.running) {
+            const end = this.reportedEnds.takeContradicted(task, sentAt);
+            if (end !== undefined) {
+                const { completion, reportedAt } = end;
+                const ageMs = Math.round(this.clock.now() - reportedAt);
+                this.log.write(LeaseEvent.ReportContradicted, { ...completion, ageMs, listed: run });
+            }
+        }
+    }
+
     /**
      * Ends all runs. Those that may have been started in the incarnation that has replaced theirs are first stopped
      * there. Starts that are not answered yet may reach the next incarnation, so their responses decide.
@@ -268,6 +284,7 @@
         const waitedMs = Math.round((run.startedAt ?? this.clock.now()) - run.orderedAt);
         this.log.write(LeaseEvent.RunEnded, { ...completion, waitedMs, owner: run.owner, starts: run.starts });
         const orderContinues = this.table.all.some(other => other.owner === run.owner && other.order === run.order);
+        this.reportedEnds.add(completion);
         this.completions.fire({ owner: run.owner, completion, orderContinues });
         this.returnRefused(run);
         this.usageChanges.fire(undefined);
--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -164,10 +164,15 @@
     private handleCompletion(agent: AgentView, completion: RunCompletion): void {
         agent.tasks.delete(completion.task);
         const found = this.jobs.findTask(completion.task);
-        if (found === undefined || found.task.state !== TaskState.Placed || found.task.agent !== agent.id) {
+        if (found === undefined) {
             return;
         }
         const { job, task } = found;
+        if (task.state !== TaskState.Placed || task.agent !== agent.id) {
+            const { state, agent: holder } = task;
+            this.log.write(EntryLeaseEvent.CompletionIgnored, { ...completion, agent: agent.id, state, holder });
+            return;
+        }
         task.agent = undefined;
         task.nextRun = Math.max(task.nextRun, completion.run + 1);
         match(completion.result)
@@ -182,10 +187,10 @@
             .with(RunResult.Refused, () => {
                 task.excludedAgents.add(agent.id);
                 this.recordJobFailure(agent.id, job);
-                this.requeue(job, task, completion);
+                this.requeue(agent, job, task, completion);
             })
             .with(RunResult.Stopped, RunResult.NotStarted, () => {
-                this.requeue(job, task, completion);
+                this.requeue(agent, job, task, completion);
             })
             .with(RunResult.Superseded, () => this.refuse(job, Verdict.MayHaveRun, "submitted again at another entry"))
             .exhaustive();
@@ -215,7 +220,7 @@
             });
             return;
         }
-        this.requeue(job, task, completion);
+        this.requeue(agent, job, task, completion);
     }
 
     private recordJobFailure(agent: string, job: LeasedJob): void {
@@ -224,10 +229,17 @@
         }
     }
 
-    private requeue(job: LeasedJob, task: LeasedTask, completion: RunCompletion): void {
+    private requeue(agent: AgentView, job: LeasedJob, task: LeasedTask, completion: RunCompletion): void {
         task.state = TaskState.Ready;
         const { result, reason, run } = completion;
-        this.log.write(EntryLeaseEvent.TaskRequeued, { job: job.submission.id, task: task.name, run, result, reason });
+        this.log.write(EntryLeaseEvent.TaskRequeued, {
+            job: job.submission.id,
+            task: task.name,
+            run,
+            agent: agent.id,
+            result,
+            reason,
+        });
         this.passTimer.fireWithin(0);
     }
 
@@ -240,17 +252,18 @@
                 task.state = TaskState.Unknown;
                 task.agent = undefined;
                 this.clock.schedule(LEASE_TIMES.LOST_RUN_EXPIRY_MS, () => {
-                    this.handleLostRunExpiry(job, task);
+                    this.handleLostRunExpiry(agent, job, task);
                 });
             }
         }
     }
 
-    private handleLostRunExpiry(job: LeasedJob, task: LeasedTask): void {
+    private handleLostRunExpiry(agent: AgentView, job: LeasedJob, task: LeasedTask): void {
         if (this.jobs.isOpen(job) && task.state === TaskState.Unknown) {
             task.nextRun += 1;
             const { name, nextRun: run } = task;
-            this.requeue(job, task, { task: name, run, result: RunResult.Stopped, ranMs: 0, reason: "agent lost" });
+            const reason = "agent lost, its leases have expired";
+            this.requeue(agent, job, task, { task: name, run, result: RunResult.Stopped, ranMs: 0, reason });
         }
     }
 
--- a/src/entry/leased/EntryLeaseEvent.ts
+++ b/src/entry/leased/EntryLeaseEvent.ts
@@ -11,6 +11,11 @@
     CallerDisconnected: { number: 8506, level: LogLevel.Info, text: "last caller disconnected, job cancelled" },
     SubmissionRefused: { number: 8507, level: LogLevel.Info, text: "submission refused" },
     SubmissionDropped: { number: 8508, level: LogLevel.Info, text: "submission dropped, caller already disconnected" },
+    CompletionIgnored: {
+        number: 8509,
+        level: LogLevel.Warn,
+        text: "end of a run ignored, its agent does not have the task any more",
+    },
     AgentAttached: { number: 8510, level: LogLevel.Info, text: "agent attached" },
     AgentLost: { number: 8511, level: LogLevel.Warn, text: "agent lost, state of its tasks unknown" },
     AgentEjected: { number: 8512, level: LogLevel.Warn, text: "agent ejected for a while, several jobs failed there" },
