--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -236,9 +236,12 @@
         this.startWaiting();
     }
 
-    /** Logs the reports of ended runs that a list requested at `sentAt` contradicts. */
+    /** Logs the reports of ended runs that a list requested at `sentAt` contradicts. Runs of later orders do not. */
     private checkReportedEnds(list: RunList, sentAt: number): void {
         for (const { task, run } of list.running) {
+            if (this.table.get(task)?.run === run) {
+                continue;
+            }
             const end = this.reportedEnds.takeContradicted(task, sentAt);
             if (end !== undefined) {
                 const { completion, reportedAt } = end;
