Name the endpoint's incarnation in orders and renewals

Cause: a run order and a renewal of the entry lease name times on the endpoint's clock, but not whose. An endpoint that starts again under its id begins its clock anew, so an order that was held up by a partition can be within its start window on the clock of the next incarnation, after the job's caller has submitted again at another entry. In the same way an entry that still has a report of the earlier incarnation grants a lease that is too long by the difference of the clocks, up to 400 ms.

How likely: an order is held up for as long as the endpoint was old, plus the time that it was down, give or take 400 ms. An agent closes a connection without messages after 2 s, so the endpoint is younger than 2 s in the first incarnation and reaches that age again in the second, unless the agent's process stands still for longer. For the lease it is younger than 400 ms. An endpoint that has been up for longer cannot bring the clocks together while the connection lasts.

Why the fix works: load reports name the incarnation (id and start time) whose clock they contain; run orders and renewals repeat it. An agent returns orders that name another one, without a start and with rule 12 for a run in their way, and ignores such renewals. The return carries the status of the new incarnation, so the entry orders again at once. A change of the incarnation under the same id is now reported as urgently as one of the id.

Side by side with: the field is optional in the check of messages. An older agent does not report it, so entries name none, and ignores it in orders; an older entry ignores it in reports and names none in its orders, which an agent takes for the current incarnation, as before.

Emulated connections can now hold messages up and deliver them later.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -10,6 +10,7 @@
 import { isOlderReport } from "./isOlderReport.js";
 import { isSameIncarnation } from "./isSameIncarnation.js";
 import { LeaseEvent } from "./LeaseEvent.js";
+import { nameIncarnation } from "./nameIncarnation.js";
 import { PollOutcome } from "./PollOutcome.js";
 import type { RunList } from "./RunList.js";
 
@@ -105,6 +106,11 @@
         return this.currentReport;
     }
 
+    /** Name of the current incarnation in messages. */
+    public get incarnation(): string | undefined {
+        return this.currentReport && nameIncarnation(this.currentReport.life);
+    }
+
     public get fence(): number {
         return this.fenceNumber;
     }
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -9,6 +9,9 @@
 import type { EndpointSession } from "./EndpointSession.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 
+/** End of a start window in which nothing can start, on any clock of an endpoint. */
+const WINDOW_OVER = 0;
+
 /**
  * Connection to an attached entry. Accepts its run orders while its entry lease is in force, and stops its runs when
  * that lease expires or the connection is lost. The entry lease, `tenure` on the wire, is the time on the endpoint's
@@ -63,17 +66,23 @@
         this.agents = agents;
     }
 
-    /** Renews the entry lease to `untilMs` on the endpoint's clock. */
-    public renewLease(untilMs: number): void {
+    /** Renews the entry lease to `untilMs` on the clock of an incarnation of the endpoint; ignored for another one. */
+    public renewLease(untilMs: number, incarnation: string | undefined): void {
+        if (!this.isCurrent(incarnation)) {
+            return;
+        }
         this.leaseUntilMs = untilMs;
         const clockMs = this.session.clockMs;
         this.leaseInForce = clockMs !== undefined && clockMs < this.leaseUntilMs;
     }
 
-    /** Accepts a run order, or returns its tasks to the entry while no entry lease is in force. */
+    /**
+     * Accepts a run order, or returns its tasks to the entry while no entry lease is in force, or when its times are on
+     * the clock of another incarnation of the endpoint.
+     */
     public handleOrder(message: MessageOf<"run">): void {
         this.lastOrderNumber = message.order;
-        this.renewLease(message.tenureUntilMs);
+        this.renewLease(message.tenureUntilMs, message.incarnation);
         const names = message.tasks.map(task => task.name);
         this.log.write(LeaseEvent.RunOrderReceived, {
             job: message.job,
@@ -83,6 +92,11 @@
             untilMs: this.leaseUntilMs,
             clockMs: this.session.clockMs,
         });
+        if (!this.isCurrent(message.incarnation)) {
+            this.runs.acceptOrder(this.owner, { ...message, startBeforeMs: WINDOW_OVER });
+            this.runs.abort(this.owner, names, "ordered on the clock of another incarnation of the endpoint");
+            return;
+        }
         this.runs.acceptOrder(this.owner, message);
         if (!this.leaseInForce) {
             this.runs.abort(this.owner, names, "no entry lease in force");
@@ -119,6 +133,11 @@
         return clockMs !== undefined && this.leaseInForce ? Math.min(clockMs, this.leaseUntilMs) : clockMs;
     }
 
+    /** Whether an entry means the current incarnation; older entries do not name any. */
+    private isCurrent(incarnation: string | undefined): boolean {
+        return incarnation === undefined || incarnation === this.session.incarnation;
+    }
+
     private checkLease(): void {
         const clockMs = this.session.clockMs;
         if (this.leaseInForce && (clockMs === undefined || clockMs >= this.leaseUntilMs)) {
--- a/src/agent/leased/EntryLinks.ts
+++ b/src/agent/leased/EntryLinks.ts
@@ -184,7 +184,7 @@
     private receive(link: EntryLink, message: Message): void {
         switch (message.kind) {
             case "tenure":
-                link.renewLease(message.untilMs);
+                link.renewLease(message.untilMs, message.incarnation);
                 link.setAgentCount(message.agents);
                 break;
             case "run":
@@ -303,5 +303,5 @@
 
 /** Whether the entry would send orders in vain, or leave the endpoint idle, until it gets the report. */
 function isUrgent(entry: AttachedEntry, status: EndpointStatus): boolean {
-    return entry.lastReport?.accepting !== status.accepting || entry.lastReport.endpoint !== status.endpoint;
+    return entry.lastReport?.accepting !== status.accepting || entry.lastReport.incarnation !== status.incarnation;
 }
--- a/src/agent/leased/describeStatus.ts
+++ b/src/agent/leased/describeStatus.ts
@@ -10,6 +10,7 @@
     return {
         service: report?.service ?? "",
         endpoint: report?.life.id ?? "",
+        incarnation: session.incarnation,
         labels: report?.labels ?? [],
         capacity: report?.capacity ?? NO_RESOURCES,
         used: runs.used,
--- a/src/common/leased/EndpointStatus.ts
+++ b/src/common/leased/EndpointStatus.ts
@@ -3,8 +3,10 @@
 /** Status of the endpoint beside an agent, as the agent reports it to entries. */
 export interface EndpointStatus {
     readonly service: string;
-    /** Identifies one incarnation of the endpoint. */
+    /** Id of the endpoint; one that starts again may keep it. */
     readonly endpoint: string;
+    /** Names the incarnation of the endpoint; its clock starts again with each. Older agents do not report it. */
+    readonly incarnation?: string | undefined;
     /** The first label is the machine type. */
     readonly labels: readonly string[];
     readonly capacity: Resources;
--- a/src/common/leased/LeaseMessage.ts
+++ b/src/common/leased/LeaseMessage.ts
@@ -18,6 +18,8 @@
     readonly startBeforeMs: number;
     /** Renews the entry lease, like the message `tenure`. */
     readonly tenureUntilMs: number;
+    /** Incarnation of the endpoint whose clock these times are on, as the agent reported it. */
+    readonly incarnation?: string | undefined;
 }
 
 /** Entry to agent: stops tasks that the entry ordered. Each is answered by its `ended` report. */
@@ -35,6 +37,8 @@
 interface Tenure {
     readonly kind: "tenure";
     readonly untilMs: number;
+    /** Incarnation of the endpoint whose clock this time is on, as the agent reported it. */
+    readonly incarnation?: string | undefined;
     /**
      * Number of agents attached to the entry whose endpoints are equivalent to the endpoint of the receiver, including
      * the receiver.
--- a/src/common/wire/FrameCodec.test.ts
+++ b/src/common/wire/FrameCodec.test.ts
@@ -144,6 +144,12 @@
         });
     }
 
+    it("guards against refusing renewals of an entry that does not name the incarnation of an endpoint", () => {
+        assert.ok(decodeMessage({ kind: "tenure", untilMs: 1, agents: 1 }).isRight());
+        assert.ok(decodeMessage({ kind: "tenure", untilMs: 1, agents: 1, incarnation: "e/1" }).isRight());
+        assert.ok(decodeMessage({ kind: "tenure", untilMs: 1, agents: 1, incarnation: 1 }).isLeft());
+    });
+
     it("guards against accepting a result that does not exist", () => {
         const runs = [{ task: "t", run: 1, result: "toString", ranMs: 1, reason: "r" }];
         assert.ok(decodeMessage({ kind: "ended", runs }).isLeft());
--- a/src/emulator/EmulatedChannel.ts
+++ b/src/emulator/EmulatedChannel.ts
@@ -14,6 +14,8 @@
     public open = true;
     /** While true, messages from this end and its close are lost, as in a network partition. */
     public dropsMessages = false;
+    /** Messages from this end that are held up; undefined while none are. */
+    private heldFrames: Buffer[] | undefined;
     private remote: EmulatedChannel | undefined;
     private readonly messages = new Emitter<Message>();
     private readonly closes = new Emitter<string>();
@@ -43,12 +45,23 @@
 
     public send(message: Message): boolean {
         if (this.open && !this.dropsMessages) {
-            const frame = FrameCodec.encode(message);
-            this.clock.schedule(this.delayMs, () => this.remote?.deliver(frame));
+            this.transmit(FrameCodec.encode(message));
         }
         return this.open;
     }
 
+    /** Holds up further messages from this end, as in a partition that heals while the connection lasts. */
+    public hold(): void {
+        this.heldFrames ??= [];
+    }
+
+    /** Delivers the messages that were held up. */
+    public release(): void {
+        const frames = this.heldFrames ?? [];
+        this.heldFrames = undefined;
+        frames.forEach(frame => this.transmit(frame));
+    }
+
     public close(reason: string): void {
         if (!this.open) {
             return;
@@ -64,6 +77,14 @@
         this.close("disposed");
     }
 
+    private transmit(frame: Buffer): void {
+        if (this.heldFrames !== undefined) {
+            this.heldFrames.push(frame);
+            return;
+        }
+        this.clock.schedule(this.delayMs, () => this.remote?.deliver(frame));
+    }
+
     private deliver(frame: Buffer): void {
         if (!this.open) {
             return;
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -170,7 +170,8 @@
 
     private renewEntryLease(view: AgentView): void {
         const agents = this.countInterchangeable(view);
-        view.channel.send({ kind: "tenure", untilMs: view.renewEntryLease(this.clock.now()), agents });
+        const untilMs = view.renewEntryLease(this.clock.now());
+        view.channel.send({ kind: "tenure", untilMs, incarnation: view.status?.incarnation, agents });
     }
 
     /** Number of agents whose endpoints can run the same tasks as this one's, itself included. */
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -91,6 +91,7 @@
             estimateMs: step.estimateMs,
             startBeforeMs: clockMs + LEASE_TIMES.START_WINDOW_MS,
             tenureUntilMs: agent.renewEntryLease(now),
+            incarnation: agent.status?.incarnation,
         });
         this.metrics.increment("tasks.placed", tasks.length);
         this.log.write(EntryLeaseEvent.TasksPlaced, {
