Emulate endpoints that leave, and processes that stop and start again

The fault profile "leaving" has four failure domains, four entries and six agents. Endpoints drain, deregister and end within 20 ms, or within 3 s when their acknowledgement is lost; agents stop in series, drain and start again with a higher fence and the stored report; entries are killed and started again; callers submit again at another entry. A crash of an endpoint there resets the connections of waiting polls in place of a last list.

--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -1,3 +1,4 @@
+import { EndpointReportStore } from "../agent/leased/EndpointReportStore.js";
 import { LeasedAgent } from "../agent/leased/LeasedAgent.js";
 import type { LinkCountTarget } from "../agent/leased/LinkCountTarget.js";
 import type { JobSubmission } from "../common/leased/JobSubmission.js";
@@ -16,6 +17,8 @@
 import { EmulatedChannel } from "./EmulatedChannel.js";
 import { EmulatedEndpoint } from "./EmulatedEndpoint.js";
 import type { EndpointCallKind } from "./EndpointCallKind.js";
+import { MemoryRowStore } from "./MemoryRowStore.js";
+import { ProcessEndpointControl } from "./ProcessEndpointControl.js";
 import type { RunRecord } from "./RunRecord.js";
 
 const LINK_DELAY_MS = 1;
@@ -26,6 +29,9 @@
 /** Microtask queue turns awaited between two clock steps. */
 const SETTLE_TURNS = 12;
 
+/** Difference between the fences of two successive agent processes; the fence rises within a process too. */
+const FENCES_PER_PROCESS = 1000;
+
 /** Start time of every endpoint's first incarnation. */
 const FIRST_BORN_MS = 1;
 
@@ -46,6 +52,10 @@
     readonly acceptsCallsToEarlierIncarnations?: boolean;
     /** Whether an endpoint that is down refuses connections; otherwise calls to it time out. */
     readonly refusesWhileDown?: boolean;
+    /** Whether a crash of an endpoint resets the connections of waiting polls; otherwise they get a last list. */
+    readonly resetsConnectionsAtCrash?: boolean;
+    /** Number of failure domains over which entries and agents are spread; 1 by default. */
+    readonly failureDomains?: number;
     /** Rate of the endpoints' clocks; 1 is exact. */
     readonly clockRate?: number;
     readonly log?: Log;
@@ -60,6 +70,11 @@
     readonly atEntry: EmulatedChannel;
 }
 
+interface AgentProcess {
+    readonly agent: LeasedAgent;
+    readonly control: ProcessEndpointControl;
+}
+
 /** Entries, agents and endpoints in one process, on a virtual clock and in-memory connections. */
 export class EmulatedDeployment {
     public readonly clock = new VirtualClock();
@@ -78,8 +93,12 @@
         stretch: 1.6,
         advised: false,
     };
-    private readonly agents: LeasedAgent[] = [];
+    /** Running agent processes by number; a stopped one is missing until its start. */
+    private readonly agents = new Map<number, AgentProcess>();
+    private readonly stoppedEntries = new Set<number>();
+    private readonly reports = new MemoryRowStore();
     private readonly runtime: Runtime;
+    private agentStarts = 0;
 
     constructor(private readonly options: DeploymentOptions) {
         this.runtime = {
@@ -89,10 +108,12 @@
             random: new SeededRandom(options.seed),
         };
         for (let number = 0; number < options.entries; number += 1) {
-            this.entries.push(new LeasedEntry(new RoutingTable(), `entry-${number}`, "domain", this.runtime));
+            this.entries.push(this.createEntry(number));
         }
         for (let number = 0; number < options.agents; number += 1) {
-            this.addAgent(number);
+            this.addEndpoint(number);
+            this.startAgent(number);
+            this.deliverHeartbeat(number, FIRST_BORN_MS, 1);
         }
     }
 
@@ -145,10 +166,11 @@
         }
     }
 
-    /** Delivers a heartbeat of the agent's endpoint to the agent. */
+    /** Delivers a heartbeat of the agent's endpoint to the agent, if its process runs. */
     public deliverHeartbeat(number: number, bornMs: number, sequence: number, draining = false): void {
-        this.agents[number]?.handleHeartbeat({
-            life: { id: `endpoint-${number}`, bornMs },
+        const id = this.endpoints[number]?.life.id ?? "";
+        this.agents.get(number)?.agent.handleHeartbeat({
+            life: { id, bornMs },
             service: this.route.service,
             capacity: { cpu: this.options.cpu, memoryMb: 1000, gpu: 0 },
             labels: [],
@@ -157,38 +179,99 @@
         });
     }
 
-    private addAgent(number: number): void {
+    /** Delivers the deregistration of the agent's endpoint; returns false when no agent process can receive it. */
+    public deliverDeregistration(number: number): boolean {
+        const process = this.agents.get(number);
+        process?.agent.handleDeregistration(this.endpoints[number]?.life.id ?? "");
+        return process !== undefined;
+    }
+
+    /** Starts an agent process. All but the first one of an agent load the stored report of the endpoint. */
+    public startAgent(number: number): void {
+        const endpoint = this.endpoints[number];
+        if (endpoint === undefined || this.agents.has(number)) {
+            throw new Error(`agent ${number} runs, or has no endpoint`);
+        }
+        this.agentStarts += 1;
+        const control = new ProcessEndpointControl(endpoint);
+        const agent = new LeasedAgent(
+            {
+                id: `agent-${number}`,
+                control,
+                routes: new RoutingTable(),
+                dial: address => this.dial(number, Number(address.slice("entry-".length))),
+                fence: this.agentStarts <= this.options.agents ? 1 : this.agentStarts * FENCES_PER_PROCESS,
+                target: this.options.linkTarget?.(),
+                reportStore: new EndpointReportStore(this.reports, `agent-${number}`, this.runtime.log),
+            },
+            this.runtime,
+        );
+        this.agents.set(number, { agent, control });
+        agent.addEntryAddresses(this.entries.map((_, entry) => `entry-${entry}`));
+        if (this.agentStarts > this.options.agents) {
+            void agent.restoreEndpoint();
+        }
+    }
+
+    /** Stops an agent process as on SIGTERM: it drains for up to `limitMs` and ends. */
+    public async stopAgent(number: number, limitMs: number): Promise<void> {
+        const process = this.agents.get(number);
+        await process?.agent.drain(limitMs);
+        process?.agent.dispose();
+        process?.control.end();
+        this.agents.delete(number);
+    }
+
+    /** Whether an entry process runs. */
+    public isEntryUp(number: number): boolean {
+        return !this.stoppedEntries.has(number);
+    }
+
+    /** Ends an entry process at once; its jobs are lost. */
+    public stopEntry(number: number): void {
+        this.stoppedEntries.add(number);
+        this.entries[number]?.dispose();
+    }
+
+    /** Starts the next process of a stopped entry. */
+    public startEntry(number: number): void {
+        this.entries[number] = this.createEntry(number);
+        this.stoppedEntries.delete(number);
+    }
+
+    private createEntry(number: number): LeasedEntry {
+        return new LeasedEntry(new RoutingTable(), `entry-${number}`, this.domainOf(number), this.runtime);
+    }
+
+    private addEndpoint(number: number): void {
         const {
             deliveryDelayMs,
             acceptsCallsToEarlierIncarnations = false,
             refusesWhileDown = false,
+            resetsConnectionsAtCrash = false,
             clockRate = 1,
         } = this.options;
-        const endpoint = new EmulatedEndpoint(this.clock, {
-            id: `endpoint-${number}`,
-            bornMs: FIRST_BORN_MS,
-            capacity: { cpu: this.options.cpu, memoryMb: 1000, gpu: 0 },
-            work: task => this.options.work(task, number),
-            cpuOf: () => this.options.taskCpu,
-            deliveryOf: (call, task) => this.options.deliveryOf?.(call, task, number) ?? CallDelivery.Answered,
-            acceptsCallsToEarlierIncarnations,
-            refusesWhileDown,
-            clockRate,
-            ...(deliveryDelayMs === undefined ? {} : { deliveryDelayMs: call => deliveryDelayMs(call, number) }),
-        });
-        this.endpoints.push(endpoint);
-        const dial = (address: string) => this.dial(number, Number(address.slice("entry-".length)));
-        const target = this.options.linkTarget?.();
-        const agent = new LeasedAgent(
-            { id: `agent-${number}`, control: endpoint, routes: new RoutingTable(), dial, fence: 1, target },
-            this.runtime,
+        this.endpoints.push(
+            new EmulatedEndpoint(this.clock, {
+                id: `endpoint-${number}`,
+                bornMs: FIRST_BORN_MS,
+                capacity: { cpu: this.options.cpu, memoryMb: 1000, gpu: 0 },
+                work: task => this.options.work(task, number),
+                cpuOf: () => this.options.taskCpu,
+                deliveryOf: (call, task) => this.options.deliveryOf?.(call, task, number) ?? CallDelivery.Answered,
+                acceptsCallsToEarlierIncarnations,
+                refusesWhileDown,
+                resetsConnectionsAtCrash,
+                clockRate,
+                ...(deliveryDelayMs === undefined ? {} : { deliveryDelayMs: call => deliveryDelayMs(call, number) }),
+            }),
         );
-        this.agents.push(agent);
-        agent.addEntryAddresses(this.entries.map((_, entry) => `entry-${entry}`));
-        this.deliverHeartbeat(number, FIRST_BORN_MS, 1);
     }
 
     private dial(agent: number, entry: number): Promise<EmulatedChannel> {
+        if (!this.isEntryUp(entry)) {
+            return Promise.reject(new Error(`entry-${entry} does not run`));
+        }
         const [atAgent, atEntry] = EmulatedChannel.pair(
             this.identity(Role.Agent, agent),
             this.identity(Role.Entry, entry),
@@ -202,7 +285,11 @@
 
     private identity(role: Role, number: number): EmulatedChannel["peer"] {
         const id = `${role}-${number}`;
-        return { role, id, incarnation: "1", region: "region", failureDomain: "domain", address: id };
+        return { role, id, incarnation: "1", region: "region", failureDomain: this.domainOf(number), address: id };
+    }
+
+    private domainOf(number: number): string {
+        return `domain-${number % (this.options.failureDomains ?? 1)}`;
     }
 }
 
--- a/src/emulator/EmulatedEndpoint.ts
+++ b/src/emulator/EmulatedEndpoint.ts
@@ -1,4 +1,5 @@
 import type { EndpointControl } from "../agent/leased/EndpointControl.js";
+import type { EndpointIncarnation } from "../agent/leased/EndpointIncarnation.js";
 import { PollOutcome } from "../agent/leased/PollOutcome.js";
 import type { RunList } from "../agent/leased/RunList.js";
 import { StartOutcome } from "../agent/leased/StartOutcome.js";
@@ -41,6 +42,7 @@
 }
 
 interface EndpointOptions {
+    /** Id of its first incarnation. */
     readonly id: string;
     /** Start time of its first incarnation. */
     readonly bornMs: number;
@@ -63,6 +65,8 @@
     readonly clockRate?: number;
     /** Whether connections are refused while it is down; otherwise calls time out. */
     readonly refusesWhileDown?: boolean;
+    /** Whether a crash resets the connections of polls that wait for a run to end; otherwise they get a last list. */
+    readonly resetsConnectionsAtCrash?: boolean;
 }
 
 /** In-memory endpoint with the lease, fencing, capacity and run list semantics of the platform's workers. */
@@ -76,6 +80,7 @@
     private finished: { number: number; task: string; run: number; how: string; }[] = [];
     private finishedCount = 0;
     private incarnation = 0;
+    private id: string;
     private bornMs: number;
     private startedAt = 0;
     private fence = 0;
@@ -84,26 +89,37 @@
     private pendingPolls: (() => void)[] = [];
 
     constructor(private readonly clock: Clock, private readonly options: EndpointOptions) {
+        this.id = options.id;
         this.bornMs = options.bornMs;
     }
 
+    /** The current incarnation, or the last one while it is down. */
+    public get life(): EndpointIncarnation {
+        return { id: this.id, bornMs: this.bornMs };
+    }
+
     public start(call: StartCall): ReturnType<EndpointControl["start"]> {
         const failed = (outcome: CallFailure): StartAnswer => ({ outcome, clockMs: undefined });
         return this.deliver<StartAnswer>("start", call, failed, () => {
-            return { outcome: this.executeStart(call), clockMs: this.clockMs };
+            const outcome = this.isMeant(call) ? this.executeStart(call) : StartOutcome.OtherIncarnation;
+            return { outcome, clockMs: this.clockMs };
         });
     }
 
     public stop(call: StopCall): ReturnType<EndpointControl["stop"]> {
         const failed = (outcome: CallFailure): StopAnswer => ({ outcome, clockMs: undefined });
         return this.deliver<StopAnswer>("stop", call, failed, () => {
-            return { outcome: this.executeStop(call), clockMs: this.clockMs };
+            const outcome = this.isMeant(call) ? this.executeStop(call) : StopOutcome.OtherIncarnation;
+            return { outcome, clockMs: this.clockMs };
         });
     }
 
     public async poll(call: PollCall): Promise<PollAnswer> {
         const failed = (outcome: CallFailure): PollAnswer => ({ outcome, clockMs: undefined, list: undefined });
         const answer = await this.deliver<PollAnswer>("look", call, failed, () => {
+            if (!this.isMeant(call)) {
+                return { outcome: PollOutcome.OtherIncarnation, clockMs: this.clockMs, list: undefined };
+            }
             if (call.fence < this.fence) {
                 return { outcome: PollOutcome.Fenced, clockMs: this.clockMs, list: undefined };
             }
@@ -113,7 +129,12 @@
             return { outcome: PollOutcome.Listed, clockMs: this.clockMs, list: this.list() };
         });
         if (answer.list !== undefined && this.finished.length === 0 && call.waitMs > 0) {
+            const incarnation = this.incarnation;
             await this.waitForFinishedRun(call.waitMs);
+            const ended = !this.up || this.incarnation !== incarnation;
+            if (ended && this.options.resetsConnectionsAtCrash === true) {
+                return failed(PollOutcome.Unanswered);
+            }
             return { outcome: PollOutcome.Listed, clockMs: this.clockMs, list: this.list() };
         }
         return answer;
@@ -126,11 +147,18 @@
             this.endRun(run, "crashed");
         }
         this.finished = [];
+        if (this.options.resetsConnectionsAtCrash === true) {
+            this.wakePolls();
+        }
     }
 
-    /** Starts a new incarnation without any state of the previous one; `bornMs` must differ from its start time. */
-    public restart(bornMs: number): void {
+    /**
+     * Starts a new incarnation without any state of the previous one, under its id or another; `bornMs` must differ from
+     * its start time.
+     */
+    public restart(bornMs: number, id = this.id): void {
         this.crash();
+        this.id = id;
         this.bornMs = bornMs;
         this.up = true;
         this.incarnation += 1;
@@ -142,6 +170,11 @@
         this.leaseUntilMs = 0;
     }
 
+    /** Whether a call names this endpoint by its id; an incarnation with another id rejects it. */
+    private isMeant({ endpoint }: { readonly endpoint: string; }): boolean {
+        return endpoint === this.id;
+    }
+
     /** Monotonic clock of the current incarnation. */
     private get clockMs(): number {
         return Math.floor((this.clock.now() - this.startedAt) * this.clockRate) + FIRST_CLOCK_MS;
@@ -231,7 +264,7 @@
         const record: RunRecord = {
             task,
             run,
-            endpoint: this.options.id,
+            endpoint: this.id,
             from: this.clock.now(),
             to: undefined,
             how: undefined,
@@ -269,6 +302,10 @@
         this.highestRuns.set(record.task, Math.max(record.run, this.highestRuns.get(record.task) ?? 0));
         this.finishedCount += 1;
         this.finished.push({ number: this.finishedCount, task: record.task, run: record.run, how });
+        this.wakePolls();
+    }
+
+    private wakePolls(): void {
         const pending = this.pendingPolls;
         this.pendingPolls = [];
         pending.forEach(wake => wake());
--- a/src/emulator/FAULT_PROFILES.ts
+++ b/src/emulator/FAULT_PROFILES.ts
@@ -3,6 +3,9 @@
 
 /** Lost responses, lost and delayed calls, crashes, partitions and closed connections, with short runs. */
 const USUAL: FaultProfile = {
+    entries: 2,
+    agents: 3,
+    failureDomains: 1,
     submitEveryMs: 60,
     budgetMs: 1500,
     faultyCallShare: 0.08,
@@ -10,6 +13,7 @@
     deliveryDelay: { leastMs: 2500, mostMs: 2500 },
     acceptsCallsToEarlierIncarnations: false,
     refusesWhileDown: false,
+    resetsConnectionsAtCrash: false,
     downtime: { leastMs: 500, mostMs: 500 },
     faultShare: 0.05,
     longRunShare: 0,
@@ -17,6 +21,7 @@
     stopDelayMs: 0,
     stopPeriodMs: 3000,
     clockRate: 1,
+    plannedEnds: undefined,
 };
 
 /** Connection resets, calls delayed by 20 ms to 3 s, long runs, and clocks that are 2% slow. */
@@ -45,4 +50,29 @@
     },
     /** Endpoints that execute stops up to 2 s late, while polls go on renewing the lease of the runs. */
     heldStops: { ...RESETS, faultyCallShare: 0.02, stopDelayMs: 2000 },
+    /**
+     * Endpoints that drain, deregister and may go on for seconds, agents that stop in series, entries that are killed:
+     * all start again soon, across four failure domains.
+     */
+    leaving: {
+        ...RESETS,
+        entries: 4,
+        agents: 6,
+        failureDomains: 4,
+        submitEveryMs: 60,
+        faultyCallShare: 0.04,
+        resetsConnectionsAtCrash: true,
+        plannedEnds: {
+            share: 0.06,
+            drain: { leastMs: 0, mostMs: 1500 },
+            lostAckShare: 0.5,
+            acknowledgedEnd: { leastMs: 0, mostMs: 20 },
+            unacknowledgedEnd: { leastMs: 200, mostMs: 3000 },
+            endpointDowntime: { leastMs: 200, mostMs: 2500 },
+            processDowntime: { leastMs: 50, mostMs: 900 },
+            agentsInSeries: 3,
+            agentSpacing: { leastMs: 0, mostMs: 400 },
+            agentGrace: { leastMs: 0, mostMs: 1500 },
+        },
+    },
 } as const satisfies Record<string, FaultProfile>;
--- a/src/emulator/FaultProfile.ts
+++ b/src/emulator/FaultProfile.ts
@@ -1,13 +1,13 @@
 import type { CallDelivery } from "./CallDelivery.js";
-
-/** Range from which a time is drawn, in milliseconds. */
-interface TimeRange {
-    readonly leastMs: number;
-    readonly mostMs: number;
-}
+import type { PlannedEndProfile } from "./PlannedEndProfile.js";
+import type { TimeRange } from "./TimeRange.js";
 
 /** Kinds and rates of the faults that a simulation injects. */
 export interface FaultProfile {
+    readonly entries: number;
+    readonly agents: number;
+    /** Number of failure domains over which entries and agents are spread. */
+    readonly failureDomains: number;
     /** Interval between two jobs. */
     readonly submitEveryMs: number;
     /** Time that callers wait for a response. */
@@ -21,6 +21,8 @@
     readonly acceptsCallsToEarlierIncarnations: boolean;
     /** Whether an endpoint that is down refuses connections; otherwise calls to it time out. */
     readonly refusesWhileDown: boolean;
+    /** Whether a crash of an endpoint resets the connections of waiting polls; otherwise they get a last list. */
+    readonly resetsConnectionsAtCrash: boolean;
     /** Time from the crash of an endpoint to its restart. */
     readonly downtime: TimeRange;
     /** Share of the submission steps after which a crash, a partition or a connection reset is injected. */
@@ -33,4 +35,6 @@
     readonly stopPeriodMs: number;
     /** Rate of the endpoints' clocks; 1 is exact. */
     readonly clockRate: number;
+    /** Undefined when nothing ends as planned. */
+    readonly plannedEnds: PlannedEndProfile | undefined;
 }
--- a/src/emulator/simulateFaults.ts
+++ b/src/emulator/simulateFaults.ts
@@ -5,9 +5,9 @@
 import { FAULT_PROFILES } from "./FAULT_PROFILES.js";
 import type { FaultProfile } from "./FaultProfile.js";
 import { findOverlappingRuns } from "./findOverlappingRuns.js";
+import { PlannedEnds } from "./PlannedEnds.js";
+import type { TimeRange } from "./TimeRange.js";
 
-const ENTRIES = 2;
-const AGENTS = 3;
 const DURATION_MS = 6000;
 const TASK_CPU = 6000;
 const ENDPOINT_CPU = 32_000;
@@ -57,17 +57,18 @@
     const random = new SeededRandom(seed);
     const chance = (share: number) => share > 0 && random.next() < share;
     const pick = (count: number) => Math.floor(random.next() * count);
-    const drawTime = ({ leastMs, mostMs }: FaultProfile["deliveryDelay"]) => {
+    const drawTime = ({ leastMs, mostMs }: TimeRange) => {
         return leastMs === mostMs ? leastMs : leastMs + random.next() * (mostMs - leastMs);
     };
     /** Remaining time in the current period for which the endpoint delays stops. */
     const remainingStopDelayMs = (endpoint: number) => {
-        const phase = endpoint * profile.stopPeriodMs / AGENTS;
+        const phase = endpoint * profile.stopPeriodMs / profile.agents;
         return Math.max(0, profile.stopDelayMs - (deployment.clock.now() + phase) % profile.stopPeriodMs);
     };
     const deployment: EmulatedDeployment = new EmulatedDeployment({
-        entries: ENTRIES,
-        agents: AGENTS,
+        entries: profile.entries,
+        agents: profile.agents,
+        failureDomains: profile.failureDomains,
         seed,
         cpu: ENDPOINT_CPU,
         taskCpu: TASK_CPU,
@@ -88,50 +89,90 @@
             (call === "stop" && remainingStopDelayMs(endpoint)) || drawTime(profile.deliveryDelay),
         acceptsCallsToEarlierIncarnations: profile.acceptsCallsToEarlierIncarnations,
         refusesWhileDown: profile.refusesWhileDown,
+        resetsConnectionsAtCrash: profile.resetsConnectionsAtCrash,
         clockRate: profile.clockRate,
         ...(log === undefined ? {} : { log }),
     });
     const jobs: SimulatedJob[] = [];
     let starts = 1;
 
-    const submit = (job: SimulatedJob, entry: number): void => {
+    /** Functions that tell the callers of each entry that it has ended. */
+    const callersOf = new Map<number, Set<() => void>>();
+
+    /** Submits a job to the entry, or to the next one that runs. */
+    const submit = (job: SimulatedJob, wanted: number): void => {
         if (deployment.clock.now() > DURATION_MS + RESUBMIT_PERIOD_MS) {
             return;
         }
+        let entry = wanted;
+        while (!deployment.isEntryUp(entry)) {
+            entry = (entry + 1) % profile.entries;
+        }
         const caller = new AbortController();
+        const callers = callersOf.get(entry) ?? new Set();
+        callersOf.set(entry, callers);
         job.open += 1;
+        let answered = false;
+        let lostEntry = false;
         const recordVerdict = (verdict: string): void => {
+            answered = true;
             job.open -= 1;
             job.verdicts.push(verdict);
+            callers.delete(loseEntry);
+        };
+        const submitAgain = (): void => {
+            deployment.clock.schedule(RESUBMIT_MS, () => submit(job, pick(profile.entries)));
+        };
+        const loseEntry = (): void => {
+            lostEntry = true;
+            recordVerdict("entry lost");
+            submitAgain();
         };
+        callers.add(loseEntry);
         const disconnects = chance(0.1);
         if (disconnects) {
             deployment.clock.schedule(random.next() * 300, () => {
-                caller.abort();
-                deployment.clock.schedule(RESUBMIT_MS, () => submit(job, pick(ENTRIES)));
+                if (!lostEntry) {
+                    caller.abort();
+                    submitAgain();
+                }
             });
         }
         void deployment.submit(entry, job.id, 1 + pick(4), 200, caller.signal, profile.budgetMs).then(
             outcome => {
+                if (answered) {
+                    return;
+                }
                 recordVerdict(outcome.kind === "refused" ? outcome.verdict : outcome.kind);
                 if (!disconnects && outcome.kind === "refused" && outcome.verdict !== "not_run") {
-                    deployment.clock.schedule(RESUBMIT_MS, () => submit(job, pick(ENTRIES)));
+                    submitAgain();
                 }
             },
         );
     };
+    const plannedEnds = profile.plannedEnds && new PlannedEnds(
+        deployment,
+        profile.plannedEnds,
+        random,
+        () => starts += 1,
+        entry => [...callersOf.get(entry) ?? []].forEach(loseEntry => loseEntry()),
+    );
     /** Partitions a link, closes a connection, or crashes an endpoint and restarts it later. */
     const injectFault = (): void => {
-        const agent = pick(AGENTS);
+        const agent = pick(profile.agents);
         const endpoint = deployment.endpoints[agent];
         const kind = pick(3);
         if (kind === 0) {
-            deployment.partition(pick(ENTRIES), agent, (["to_agent", "to_entry", "both"] as const)[pick(3)] ?? "both");
+            deployment.partition(
+                pick(profile.entries),
+                agent,
+                (["to_agent", "to_entry", "both"] as const)[pick(3)] ?? "both",
+            );
         }
         else if (kind === 1) {
             deployment.links.filter(link => link.agent === agent)[0]?.atAgent.close("reset");
         }
-        else if (endpoint !== undefined) {
+        else if (endpoint !== undefined && plannedEnds?.isLeaving(agent) !== true) {
             endpoint.crash();
             deployment.clock.schedule(drawTime(profile.downtime), () => {
                 starts += 1;
@@ -148,10 +189,13 @@
         const id = (seed * 100_000 + jobs.length).toString(16).padStart(16, "0");
         const job = { id, verdicts: [], open: 0 };
         jobs.push(job);
-        submit(job, pick(ENTRIES));
+        submit(job, pick(profile.entries));
         if (chance(profile.faultShare)) {
             injectFault();
         }
+        if (plannedEnds !== undefined && chance(profile.plannedEnds?.share ?? 0)) {
+            plannedEnds.begin();
+        }
         await deployment.advance(profile.submitEveryMs);
     }
     await deployment.advance(RESUBMIT_PERIOD_MS + profile.budgetMs + ANSWER_GRACE_MS);
