Follow the runs of an endpoint that has deregistered

Callers saw two runs of one task at once, on endpoints in two failure domains under two agents, while endpoints deregister.

Cause: a deregistration counted as the end of all runs. The agent gave them back at once and its entries placed them elsewhere. By the protocol an endpoint ends once the deregistration is acknowledged; when the acknowledgement is lost or late it goes on for seconds, and its runs with it.

Now a deregistered endpoint gets no new runs: waiting tasks and orders under way are returned at once. Its runs are followed as before: they end when a list shows it, connections are refused, another incarnation answers, or the lease has expired. Runs are left to finish, not stopped: most runs are shorter than a second, a stopped one starts from the beginning elsewhere, and an endpoint that was acknowledged ends before a stop would. An endpoint that does not answer after its deregistration gets no renewals of its lease. It is forgotten once it has no runs; then polls end.

The stored report is still deleted at once, so a new agent process neither polls nor renews; the runs of the earlier one end with its lease. Delayed heartbeats of an endpoint that has left no longer bring it back; a later ready one does, since a deregistration may be of an earlier incarnation. A heartbeat that is ignored is no longer stored.

The report of a restored endpoint is still dropped when another incarnation answers: nothing was started in the stored one, because starts wait for its first list.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -86,6 +86,8 @@
         this.calls = new RunCalls(session, this.table, owner, clock, log);
         this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
         session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.orphanedSinceMs));
+        session.setHasRuns(() => this.table.size > 0);
+        session.onDeregistered(() => this.startWaiting());
         session.onList(({ list, sentAt }) => {
             this.handleList(list, sentAt);
         });
@@ -123,7 +125,7 @@
             this.addTask(owner, order, name, run);
         }
         this.startWaiting();
-        this.returnExcess();
+        this.returnWaiting(MAX_WAITING, "no room");
         this.checkTimer.fireWithin(CHECK_INTERVAL_MS);
         this.usageChanges.fire(undefined);
     }
@@ -195,9 +197,16 @@
         }
     }
 
-    /** Starts waiting orders, first come first served, as long as they fit. */
+    /**
+     * Starts waiting orders, first come first served, as long as they fit. They are returned while there is no endpoint
+     * that takes runs.
+     */
     private startWaiting(): void {
         const report = this.session.report;
+        if (!this.session.isRegistered) {
+            this.returnWaiting(0, "no endpoint registered");
+            return;
+        }
         if (report === undefined || this.startsBlocked || this.session.isLost || this.session.clockMs === undefined) {
             return;
         }
@@ -217,11 +226,11 @@
         }
     }
 
-    /** Returns the newest of the waiting tasks to their entries. */
-    private returnExcess(): void {
+    /** Returns all but the first `kept` of the waiting tasks to their entries. */
+    private returnWaiting(kept: number, reason: string): void {
         const waiting = this.table.all.filter(run => run.phase === RunPhase.Waiting);
-        for (const run of waiting.slice(MAX_WAITING)) {
-            this.finish(run, RunResult.NotStarted, "no room");
+        for (const run of waiting.slice(kept)) {
+            this.finish(run, RunResult.NotStarted, reason);
         }
     }
 
--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -155,11 +155,66 @@
             const clock = new VirtualClock();
             const session = new EndpointSession(healthyEndpoint(clock, 1), clock, new SilentLog(), 1);
             session.handleHeartbeat(REPORT);
-            session.dropEndpoint();
+            session.handleDeregistration();
             session.handleHeartbeat({ ...REPORT, life: { id: "endpoint", bornMs: 2 } });
             assert.equal(session.fence, 2);
             session.dispose();
         });
+
+        // Heartbeats and the deregistration travel on different connections.
+        for (const waitMs of [0, 500]) {
+            it(`guards against new runs after a delayed heartbeat of the endpoint that has left, after ${waitMs} ms`, async () => {
+                const clock = new VirtualClock();
+                const session = new EndpointSession(healthyEndpoint(clock, 1), clock, new SilentLog(), 1);
+                session.handleHeartbeat({ ...REPORT, sequence: 5 });
+                await pass(clock, 20);
+                session.handleDeregistration();
+                await pass(clock, waitMs);
+                session.handleHeartbeat({ ...REPORT, sequence: 4 });
+                session.handleHeartbeat({ ...REPORT, sequence: 6, draining: true });
+                await pass(clock, 20);
+                assert.equal(session.isAvailable, false);
+                session.dispose();
+            });
+
+            it(`guards against an endpoint that is idle after the deregistration of another incarnation, ${waitMs} ms later`, async () => {
+                const clock = new VirtualClock();
+                const session = new EndpointSession(healthyEndpoint(clock, 1), clock, new SilentLog(), 1);
+                session.handleHeartbeat(REPORT);
+                await pass(clock, 20);
+                session.handleDeregistration();
+                await pass(clock, waitMs);
+                session.handleHeartbeat({ ...REPORT, sequence: 2 });
+                await pass(clock, 20);
+                assert.equal(session.isAvailable, true);
+                session.dispose();
+            });
+        }
+
+        it("guards against polls of an endpoint that has left", async () => {
+            const clock = new VirtualClock();
+            let polls = 0;
+            const endpoint = healthyEndpoint(clock, 1);
+            const poll: EndpointControl["poll"] = call => {
+                polls += 1;
+                return endpoint.poll(call);
+            };
+            const control = {
+                start: endpoint.start.bind(endpoint),
+                stop: endpoint.stop.bind(endpoint),
+                poll,
+            };
+            const session = new EndpointSession(control, clock, new SilentLog(), 1);
+            session.handleHeartbeat(REPORT);
+            await pass(clock, 20);
+            session.handleDeregistration();
+            await pass(clock, 500);
+            assert.equal(session.report, undefined);
+            const before = polls;
+            await pass(clock, 1000);
+            assert.equal(polls, before);
+            session.dispose();
+        });
     });
 
     describe("responses that overtake each other", () => {
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -58,6 +58,7 @@
     private readonly lists = new Emitter<TimedRunList>();
     private readonly losses = new Emitter<EndpointLoss>();
     private readonly leaseRenewals = new Emitter<undefined>();
+    private readonly deregistrations = new Emitter<undefined>();
     private readonly clockEstimate: EndpointClockEstimate;
     private readonly failedPolls: FailedPolls;
     private currentReport: EndpointReport | undefined;
@@ -74,8 +75,13 @@
      * it.
      */
     private restored = false;
+    /** Whether the endpoint has deregistered: it may go on for seconds, and its runs with it. */
+    private leaving = false;
+    /** Last report of the endpoint that has left. */
+    private departedReport: EndpointReport | undefined;
     private disposed = false;
     private leaseLimit = (): number => Number.POSITIVE_INFINITY;
+    private hasRuns = (): boolean => false;
 
     /** Fires with each run list. */
     public readonly onList = this.lists.event;
@@ -84,6 +90,8 @@
      * it.
      */
     public readonly onRenewal = this.leaseRenewals.event;
+    /** Fires when the endpoint has deregistered: it gets no new runs from then on, and its runs go on. */
+    public readonly onDeregistered = this.deregistrations.event;
     /**
      * Fires when nothing that was started at the endpoint runs any more: its incarnation has ended, or the endpoint
      * lease has expired.
@@ -100,7 +108,7 @@
         this.failedPolls = new FailedPolls(clock);
     }
 
-    /** Last heartbeat of the current incarnation. */
+    /** Last heartbeat of the current incarnation; undefined before the first one and after its end. */
     public get report(): EndpointReport | undefined {
         return this.currentReport;
     }
@@ -114,10 +122,15 @@
         return this.lost;
     }
 
+    /** Whether the endpoint is known and has not deregistered. */
+    public get isRegistered(): boolean {
+        return this.currentReport !== undefined && !this.leaving;
+    }
+
     /** Whether the endpoint has answered recently and can be given work. */
     public get isAvailable(): boolean {
         const hasAnswered = this.clock.now() - this.answeredAt < POLL_WAIT_MS + 2 * POLL_SLACK_MS;
-        return !this.lost && hasAnswered
+        return this.isRegistered && !this.lost && hasAnswered
             && this.leaseLimitMs > (this.clockEstimate.now() ?? 0) + LEASE_TIMES.START_WINDOW_MS;
     }
 
@@ -139,6 +152,11 @@
         this.leaseLimit = limit;
     }
 
+    /** Sets the function that returns whether the agent has runs; an endpoint that leaves is polled until it has none. */
+    public setHasRuns(hasRuns: () => boolean): void {
+        this.hasRuns = hasRuns;
+    }
+
     /** Polls the endpoint of a stored report, unless a heartbeat has already named one. */
     public restore(report: EndpointReport): void {
         if (this.currentReport === undefined) {
@@ -148,10 +166,13 @@
         }
     }
 
-    /** Handles a heartbeat. One of an earlier incarnation, or an older one of this incarnation, is ignored. */
+    /**
+     * Handles a heartbeat. One of an earlier incarnation, an older one of this incarnation, or a delayed one of an
+     * endpoint that has deregistered, is ignored.
+     */
     public handleHeartbeat(report: EndpointReport): void {
         const known = this.currentReport;
-        if (known !== undefined && isOlderReport(report, known)) {
+        if (this.isOutdated(report)) {
             this.log.write(LeaseEvent.HeartbeatIgnored, { endpoint: report.life.id, sequence: report.sequence });
             return;
         }
@@ -163,9 +184,22 @@
         }
         this.currentReport = report;
         this.restored = false;
+        this.leaving = false;
         this.startPolling();
     }
 
+    /**
+     * Handles the deregistration of the endpoint. It ends once the deregistration is acknowledged, and without an
+     * acknowledgement some seconds later, so its runs go on until polls show that they have ended.
+     */
+    public handleDeregistration(): void {
+        if (this.isRegistered) {
+            this.leaving = true;
+            this.log.write(LeaseEvent.EndpointDeregistered, { endpoint: this.currentReport?.life.id });
+            this.deregistrations.fire(undefined);
+        }
+    }
+
     /** Updates the estimate of the clock from the response to a call that was meant for the incarnation of `report`. */
     public observeClock(clockMs: number | undefined, report: EndpointReport | undefined): void {
         if (report !== undefined && this.currentReport !== undefined && isSameIncarnation(report, this.currentReport)) {
@@ -189,22 +223,36 @@
         return this.poll(0);
     }
 
-    /**
-     * Drops the endpoint, because it has deregistered or because another incarnation than that of a stored report has
-     * answered; nothing that was started runs there any more.
-     */
-    public dropEndpoint(): void {
-        this.markLost("endpoint deregistered");
-        this.currentReport = undefined;
-    }
-
     public dispose(): void {
         this.disposed = true;
         this.lists.dispose();
         this.leaseRenewals.dispose();
+        this.deregistrations.dispose();
         this.losses.dispose();
     }
 
+    /**
+     * Whether a heartbeat says nothing new. A draining one of an endpoint that has deregistered was delayed, whereas a
+     * later ready one shows that the deregistration was of an earlier incarnation.
+     */
+    private isOutdated(report: EndpointReport): boolean {
+        const known = this.currentReport;
+        if (known !== undefined && isOlderReport(report, known)) {
+            return true;
+        }
+        const left = this.leaving ? known : this.departedReport;
+        const hasLeft = left !== undefined && isSameIncarnation(report, left);
+        return hasLeft && (report.draining || report.sequence <= left.sequence);
+    }
+
+    /** Forgets the endpoint, which has no runs any more. */
+    private forgetEndpoint(reason: string): void {
+        this.markLost(reason);
+        this.departedReport = this.currentReport;
+        this.currentReport = undefined;
+        this.leaving = false;
+    }
+
     private beginIncarnation(report: EndpointReport): void {
         if (this.hadIncarnation) {
             // Calls to the earlier incarnation that are still in flight have no effect once this one has seen the
@@ -212,6 +260,7 @@
             this.fenceNumber += 1;
         }
         this.hadIncarnation = true;
+        this.leaving = false;
         this.markLost("new life of the endpoint", true);
         this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
         this.acknowledged = 0;
@@ -251,6 +300,9 @@
         while (!this.disposed && this.currentReport !== undefined) {
             const sentAt = this.clock.now();
             const list = await this.poll(POLL_WAIT_MS);
+            if (this.leaving && !this.hasRuns() && (this.lost || list?.running.length === 0)) {
+                this.forgetEndpoint("endpoint deregistered");
+            }
             const pauseMs = list === undefined
                 ? this.failedPolls.retryIntervalMs - (this.clock.now() - sentAt)
                 : pollDelayAfter(list);
@@ -274,7 +326,9 @@
         const sentAt = this.clock.now();
         const fence = this.fenceNumber;
         const clockMs = this.clockEstimate.now();
-        const untilMs = clockMs === undefined
+        // An endpoint that leaves and no longer answers gets no renewals, so that its last lease expires.
+        const isSilent = this.leaving && this.failedPolls.count > 0;
+        const untilMs = clockMs === undefined || isSilent
             ? undefined
             : Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.leaseLimitMs);
         this.renewedAt = untilMs === undefined ? this.renewedAt : sentAt;
@@ -291,8 +345,9 @@
         }
         const bornMs = response.list?.bornMs ?? report.life.bornMs;
         if (bornMs !== report.life.bornMs && this.restored) {
-            // Another incarnation may have another capacity, which only its heartbeat states.
-            this.dropEndpoint();
+            // Another incarnation may have another capacity, which only its heartbeat states. Nothing was started in the
+            // stored one, because it never answered.
+            this.forgetEndpoint("another incarnation answers");
             return undefined;
         }
         if (bornMs !== report.life.bornMs) {
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -7,10 +7,15 @@
     EndpointAnswers: { number: 8002, level: LogLevel.Info, text: "endpoint answers polls" },
     EndpointLost: { number: 8003, level: LogLevel.Warn, text: "endpoint lost, its runs have ended" },
     EndpointState: { number: 8004, level: LogLevel.Info, text: "endpoint changed its draining state" },
+    EndpointDeregistered: {
+        number: 8009,
+        level: LogLevel.Info,
+        text: "endpoint deregistered, no new runs, polling it until its runs have ended",
+    },
     HeartbeatIgnored: {
         number: 8005,
         level: LogLevel.Info,
-        text: "heartbeat of an earlier incarnation or out of sequence, ignored",
+        text: "heartbeat of an earlier incarnation, a deregistered endpoint or out of sequence, ignored",
     },
     HeartbeatUnreadable: {
         number: 8006,
--- a/src/agent/leased/LeasedAgent.ts
+++ b/src/agent/leased/LeasedAgent.ts
@@ -79,14 +79,16 @@
     /** Handles a heartbeat of the endpoint. */
     public handleHeartbeat(report: EndpointReport): void {
         this.session.handleHeartbeat(report);
-        this.options.reportStore?.save(report);
+        if (this.session.report === report) {
+            this.options.reportStore?.save(report);
+        }
         this.links.scheduleReports();
     }
 
     /** Handles the deregistration of the endpoint `id`; that of any other endpoint is ignored. */
     public handleDeregistration(id: string): void {
         if (this.session.report?.life.id === id) {
-            this.session.dropEndpoint();
+            this.session.handleDeregistration();
             this.options.reportStore?.delete();
             this.links.scheduleReports();
         }
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -84,10 +84,6 @@
         if (!this.isStarting(run) || run.run !== number) {
             return;
         }
-        if (this.session.report === undefined) {
-            this.owner.finish(run, RunResult.Stopped, "endpoint deregistered");
-            return;
-        }
         this.handleStartResponse(run, response.outcome, fence);
     }
 
@@ -122,7 +118,8 @@
      * used up. `evidence` says for the log why no earlier run is there.
      */
     public startNext(run: OrderedRun, evidence: string): void {
-        if (run.stopReason !== undefined || run.starts >= MAX_STARTS || !this.isInStartWindow(run)) {
+        const wanted = run.stopReason === undefined && this.session.isRegistered;
+        if (!wanted || run.starts >= MAX_STARTS || !this.isInStartWindow(run)) {
             this.owner.finish(run, RunResult.NotStarted, run.stopReason ?? "start not confirmed in time");
             return;
         }
--- a/src/emulator/simulateFaults.test.ts
+++ b/src/emulator/simulateFaults.test.ts
@@ -25,11 +25,15 @@
 /** Regressions: polls, and starts of other tasks, renewed the endpoint lease of runs whose stops were delayed. */
 const HELD_STOPS_SEEDS = [30002, 30009, 30174, 30222];
 
+/** Regressions: tasks were placed elsewhere at the deregistration of an endpoint that went on for seconds. */
+const LEAVING_SEEDS = [30001, 30002, 30006, 30013];
+
 const CASES = [
     ...USUAL_SEEDS.map(seed => ({ profile: "usual", seed }) as const),
     ...RESETS_SEEDS.map(seed => ({ profile: "resets", seed }) as const),
     ...REBIRTHS_SEEDS.map(seed => ({ profile: "rebirths", seed }) as const),
     ...HELD_STOPS_SEEDS.map(seed => ({ profile: "heldStops", seed }) as const),
+    ...LEAVING_SEEDS.map(seed => ({ profile: "leaving", seed }) as const),
 ];
 
 describe("simulateFaults", () => {
