Check the time after the loss of an agent in the model of leases

spec/lease.pml had one bound, the 1300 ms of callers that submit again. It now also has the time after which an entry starts the tasks of a lost agent elsewhere, with its worst case: the connection closes just after a renewal, before the last order has arrived, and the agent does not see it; a start is carried out late within its window; a start never shortens the endpoint lease. Steps are 64 ms in place of 100 ms, because with 100 ms neither 1200 nor 1295 ms can be told from 1300: what a run may take is rounded up (571 ms to 9 steps, 703 ms with the stop to 11), what the others wait is rounded down (1295 and 1300 ms to 20, 1200 ms to 18). A renewal may come at any step after the order, not every second one.

--- a/scripts/checkModel.mjs
+++ b/scripts/checkModel.mjs
@@ -54,11 +54,15 @@
     {
         name: "lease",
         variants: [[]],
-        faults: [["LONG_ENDPOINT_LEASE"], ["LONG_ENTRY_LEASE"], ["NO_ENTRY_LEASE"], ["NO_START_WINDOW"], [
-            "RENEW_BEFORE_CHECK",
-        ], [
-            "RENEW_WHILE_STOPPING",
-        ]],
+        faults: [
+            ["LONG_ENDPOINT_LEASE"],
+            ["LONG_ENTRY_LEASE"],
+            ["SHORT_EXPIRY"],
+            ["NO_ENTRY_LEASE"],
+            ["NO_START_WINDOW"],
+            ["RENEW_BEFORE_CHECK"],
+            ["RENEW_WHILE_STOPPING"],
+        ],
     },
     {
         name: "settle",
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -1,30 +1,40 @@
 /*
- * Leases of runs at an endpoint: a caller loses its entry and submits again at another entry after RESUBMIT; by then no
- * run of the first entry may be left. One task: its first run is at the endpoint of agent 0, its second anywhere else.
+ * Leases of runs at an endpoint. The first run of a task is at the endpoint of agent 0, its second anywhere else. The
+ * second begins
+ * - when the caller has lost its entry and submits again at another entry, RESUBMIT after the loss; the agent may be cut
+ *   off from that entry as well and does not notice it; or
+ * - when the entry has lost the agent and starts the task elsewhere, LOST_RUN_EXPIRY after the loss. The entry sees the
+ *   connection close and the agent does not.
+ * By then the first run must have ended.
  *
- * Time passes in steps of 100 ms. A step stands for any moment in it, so an entry may be lost just after it has renewed
- * its entry lease, and an endpoint lease may be renewed just before the entry lease expires. In each step any of these
- * may happen: a run order takes effect late, a renewal of the entry lease is lost, the entry is cut off for good (its
- * caller loses it as well), the agent stalls or resumes, the endpoint holds a stop back.
+ * Time passes in steps of 64 ms: all times that a run may take are rounded up to steps, RESUBMIT and LOST_RUN_EXPIRY are
+ * rounded down. A step stands for any moment in it, so an entry or an agent may be lost just after the entry lease was
+ * renewed, and an endpoint lease may be renewed just before the entry lease expires. In each step any of these may
+ * happen: a run order takes effect late, also after the loss; a renewal of the entry lease is lost; the loss; the agent
+ * stalls or resumes; the endpoint holds a stop back.
  */
-#define RENEWAL_INTERVAL 2 /* between renewals of the entry lease: 200 ms */
 #ifdef LONG_ENTRY_LEASE
-#define ENTRY_LEASE 7 /* 600 ms on the slowest clock, rounded up */
+#define ENTRY_LEASE 10 /* 600 ms on the slowest clock: 612 ms */
 #else
-#define ENTRY_LEASE 6 /* 560 ms on the slowest clock, rounded up */
+#define ENTRY_LEASE 9 /* 560 ms on the slowest clock: 571 ms */
 #endif
-#define START_WINDOW 4 /* start window: 400 ms */
-#define RESUBMIT 13 /* 1300 ms */
-#define HORIZON 28
+#define START_WINDOW 7 /* 400 ms on the slowest clock: 408 ms */
+#define RESUBMIT 20 /* 1300 ms */
+#ifdef SHORT_EXPIRY
+#define LOST_RUN_EXPIRY 18 /* 1200 ms */
+#else
+#define LOST_RUN_EXPIRY 20 /* 1295 ms */
+#endif
+#define HORIZON 36
 
 #ifdef LONG_ENDPOINT_LEASE
-#define ENDPOINT_LEASE 10 /* 1000 ms */
+#define ENDPOINT_LEASE 17 /* 1000 ms on the slowest clock and 50 ms of a stop: 1070 ms */
 #else
-#define ENDPOINT_LEASE 7 /* 640 ms on the slowest clock, rounded up */
+#define ENDPOINT_LEASE 11 /* 640 ms on the slowest clock and 50 ms of a stop: 703 ms */
 #endif
 
 byte now = 1;
-byte lostAt = 0; /* 0 while the caller and the agent can reach the entry */
+byte lostAt = 0; /* 0 before the loss */
 byte entryLeaseUntil = 0;
 byte startBefore = 0; /* end of the start window; 0 before the run order */
 byte endpointLeaseUntil = 0;
@@ -35,18 +45,26 @@
 
 #define MAYBE(condition, action) if :: (condition) -> action :: true fi
 
-/* A run order renews the entry lease; the endpoint may execute it at any time in the start window. */
+/* An endpoint lease is never shortened. */
+inline extendEndpointLease(until) {
+    endpointLeaseUntil = (until > endpointLeaseUntil -> until : endpointLeaseUntil)
+}
+
+/*
+ * A run order renews the entry lease. The endpoint may execute the start at any time in the start window: the order may
+ * arrive after the loss, and the call may be held back.
+ */
 inline orderRun() {
     MAYBE((lostAt == 0 && startBefore == 0 && agentUp), startBefore = now + START_WINDOW; entryLeaseUntil = now + ENTRY_LEASE);
 #ifdef NO_START_WINDOW
     MAYBE((startBefore != 0 && !started), started = true; firstRun = true; endpointLeaseUntil = now + START_WINDOW);
 #else
-    MAYBE((startBefore != 0 && !started && now < startBefore), started = true; firstRun = true; endpointLeaseUntil = startBefore);
+    MAYBE((startBefore != 0 && !started && now < startBefore), started = true; firstRun = true; extendEndpointLease(startBefore));
 #endif
 }
 
 inline renewEntryLease() {
-    MAYBE((lostAt == 0 && now % RENEWAL_INTERVAL == 0), entryLeaseUntil = now + ENTRY_LEASE);
+    MAYBE((lostAt == 0 && startBefore != 0), entryLeaseUntil = now + ENTRY_LEASE);
 }
 
 /* Stops the run of an entry lease that has expired. */
@@ -101,16 +119,26 @@
     fi
 }
 
+/* A loss before the run order is left out: it leads to no first run. */
+inline lose() {
+    MAYBE((lostAt == 0 && startBefore != 0 && now + RESUBMIT < HORIZON), lostAt = now)
+}
+
+/* Either loss may have happened, so the second run may begin after the shorter of both times. */
+inline startElsewhere() {
+    MAYBE((lostAt != 0 && (now >= lostAt + RESUBMIT || now >= lostAt + LOST_RUN_EXPIRY)), secondRun = true)
+}
+
 active proctype steps() {
     do
-    :: now < HORIZON ->
+    :: now < HORIZON && !secondRun ->
         atomic {
             renewEntryLease();
             orderRun();
-            MAYBE((lostAt == 0), lostAt = now);
+            lose();
             agentStep();
             endpointStep();
-            MAYBE((lostAt != 0 && now >= lostAt + RESUBMIT), secondRun = true);
+            startElsewhere();
             assert(!(firstRun && secondRun));
             now++
         }
