Keep a task with an unanswered start at the agent of a lost endpoint

Callers would see two runs of one task (TWICE): one at an endpoint that has just started again under its id, and one at another endpoint.

Cause: a start was not answered, and a stop and a list of the incarnation ruled it out. That incarnation ended with the task's next run, and the agent returned the task when connections were refused. The entry placed it elsewhere, and the next incarnation executed the first start: it has the same id, has seen no fence, and its clock is behind the start's limit. What rules a start out in one incarnation counted for the next one too.

Ruled out: until-ms cannot exclude it, because it is a time on a clock that starts anew; X-Expect-Instance names only the id; the fence takes effect with the first call only.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -12,6 +12,7 @@
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import type { EndpointSession } from "./EndpointSession.js";
 import { EndpointStallDetector } from "./EndpointStallDetector.js";
+import { LateStarts } from "./LateStarts.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
 import { RunCalls } from "./RunCalls.js";
@@ -33,6 +34,12 @@
 /** Interval of the checks for stalled runs while none waits or is being stopped. */
 const STALL_CHECK_MS = 50;
 
+/**
+ * Longest time that a task stays at the agent of a lost endpoint because a start of it may still be executed: an entry
+ * that loses the agent itself places the task again after the same time.
+ */
+const MAX_LOST_MS = LEASE_TIMES.LOST_RUN_EXPIRY_MS;
+
 /** Finished run and the connection on which it is reported. */
 interface OwnedCompletion {
     readonly owner: string;
@@ -47,6 +54,7 @@
     private readonly usageChanges = new Emitter<undefined>();
     private readonly table = new RunTable();
     private readonly slowdown = new SlowdownEstimate();
+    private readonly lateStarts: LateStarts;
     private readonly calls: RunCalls;
     private readonly reconciler: RunReconciler;
     private readonly stalls: EndpointStallDetector;
@@ -75,12 +83,15 @@
         this.checkTimer = new CoalescingTimer(clock, () => {
             this.check();
         });
+        this.lateStarts = new LateStarts(clock);
         const owner = {
             finish: (run: OrderedRun, result: RunResult, reason: string) => this.finish(run, result, reason),
+            finishUnanswered: (run: OrderedRun, result: RunResult, reason: string) =>
+                this.finishUnanswered(run, result, reason),
             blockStarts: () => this.startsBlocked = true,
             watchStops: () => this.checkTimer.fireWithin(CHECK_INTERVAL_MS),
         };
-        this.calls = new RunCalls(session, this.table, owner, clock, log);
+        this.calls = new RunCalls(session, this.table, this.lateStarts, owner, clock, log);
         this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
         session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.orphanedSinceMs));
         session.onList(({ list, sentAt }) => {
@@ -176,6 +187,7 @@
             leaseLimitMs: Number.POSITIVE_INFINITY,
             stopDueAt: 0,
             restartAfterStop: false,
+            returnLostAt: Number.POSITIVE_INFINITY,
             refusedOwners: new Set(),
         });
     }
@@ -224,6 +236,7 @@
 
     private handleList(list: RunList, sentAt: number): void {
         this.startsBlocked = false;
+        this.lateStarts.applyList(list);
         this.reconciler.apply(list, sentAt);
         const hasOrphans = list.running.some(({ task }) => this.table.get(task) === undefined);
         this.orphanedSinceMs = hasOrphans
@@ -241,19 +254,37 @@
         this.stalls.reset();
         this.calls.reset();
         this.orphanedSinceMs = Number.POSITIVE_INFINITY;
+        if (replaced) {
+            this.lateStarts.handleReplacement();
+        }
         for (const run of this.table.all) {
             const began = run.phase !== RunPhase.Waiting;
-            if (replaced && began) {
+            if (replaced && (began || this.lateStarts.has(run.task))) {
                 this.calls.stopUncertain(run, reason);
                 continue;
             }
             if (run.phase === RunPhase.Starting) {
                 continue;
             }
-            this.finish(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
+            this.finishUnanswered(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
         }
     }
 
+    /**
+     * Finishes a run whose endpoint is lost. A task that has an unanswered start stays here until the start is ruled out
+     * in the next incarnation, which may execute it before the agent has reached it, or until `MAX_LOST_MS` later.
+     */
+    private finishUnanswered(run: OrderedRun, result: RunResult, reason: string): void {
+        const now = this.clock.now();
+        run.returnLostAt = Math.min(run.returnLostAt, now + MAX_LOST_MS);
+        if (this.lateStarts.has(run.task) && now < run.returnLostAt) {
+            this.log.write(LeaseEvent.ReturnDelayed, { task: run.task, run: run.run, reason });
+            this.calls.stopUncertain(run, reason);
+            return;
+        }
+        this.finish(run, result, reason);
+    }
+
     private finish(run: OrderedRun, result: RunResult, reason: string): void {
         this.table.remove(run);
         const ranMs = Math.round(this.clock.now() - (run.startedAt ?? this.clock.now()));
@@ -293,7 +324,10 @@
         }
         for (const run of this.table.all) {
             if (run.phase === RunPhase.Waiting && !this.calls.isInStartWindow(run)) {
-                this.finish(run, RunResult.NotStarted, "no room in time");
+                this.calls.stop(run, "no room in time");
+            }
+            else if (run.phase === RunPhase.Stopping && this.session.isLost && this.clock.now() >= run.returnLostAt) {
+                this.finish(run, RunResult.Stopped, "endpoint lost");
             }
             else if (run.phase === RunPhase.Stopping && this.clock.now() >= run.stopDueAt) {
                 this.log.write(LeaseEvent.StopRepeated, { task: run.task, run: run.run });
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -51,6 +51,11 @@
     PollFailed: { number: 8017, level: LogLevel.Info, text: "poll of the run list failed" },
     UnconfirmedRunPolled: { number: 8018, level: LogLevel.Info, text: "run list polled to resolve an unconfirmed run" },
     StartRepeated: { number: 8019, level: LogLevel.Info, text: "starting the task again under the next run number" },
+    ReturnDelayed: {
+        number: 8032,
+        level: LogLevel.Warn,
+        text: "endpoint lost, keeping a task until its unanswered start is ruled out",
+    },
     EntryAttached: { number: 8020, level: LogLevel.Info, text: "attached to an entry" },
     EntryDetached: { number: 8021, level: LogLevel.Warn, text: "connection to an entry closed" },
     EntryUnreachable: {
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -6,6 +6,7 @@
 import type { EndpointReport } from "./EndpointReport.js";
 import type { EndpointSession } from "./EndpointSession.js";
 import { isSameIncarnation } from "./isSameIncarnation.js";
+import type { LateStarts } from "./LateStarts.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
 import { RunPhase } from "./RunPhase.js";
@@ -30,6 +31,8 @@
 interface RunOwner {
     /** Handles a run that has ended or will never begin. */
     finish(run: OrderedRun, result: RunResult, reason: string): void;
+    /** Handles a run of which no response of the endpoint shows that it is over: its connections fail. */
+    finishUnanswered(run: OrderedRun, result: RunResult, reason: string): void;
     /** Blocks starts until the next run list, because the endpoint has less free capacity than the agent calculated. */
     blockStarts(): void;
     /** Checks regularly for runs whose next stop call is due, until none is left. */
@@ -44,6 +47,7 @@
     constructor(
         private readonly session: EndpointSession,
         private readonly table: RunTable,
+        private readonly lateStarts: LateStarts,
         private readonly owner: RunOwner,
         private readonly clock: Clock,
         private readonly log: Log,
@@ -81,6 +85,10 @@
         });
         this.session.observeClock(response.clockMs, report);
         this.startTimeout.observe(this.clock.now() - sentAt);
+        const listed = this.table.isCurrent(run) && run.run === number && run.startedAt !== undefined;
+        if (response.outcome === StartOutcome.Unanswered && !listed) {
+            this.lateStarts.add(run.task, number);
+        }
         if (!this.isStarting(run) || run.run !== number) {
             return;
         }
@@ -95,7 +103,10 @@
     public stop(run: OrderedRun, reason: string): void {
         run.stopReason ??= reason;
         run.restartAfterStop = false;
-        if (run.phase === RunPhase.Waiting) {
+        if (run.phase === RunPhase.Waiting && this.session.isLost) {
+            this.owner.finishUnanswered(run, RunResult.NotStarted, reason);
+        }
+        else if (run.phase === RunPhase.Waiting) {
             this.owner.finish(run, RunResult.NotStarted, reason);
         }
         else if (run.phase === RunPhase.Running) {
@@ -190,9 +201,12 @@
             .with(StartOutcome.Invalid, () => {
                 this.owner.finish(run, RunResult.Failed, outcome);
             })
-            .with(StartOutcome.Late, StartOutcome.OtherIncarnation, StartOutcome.Unreachable, () => {
+            .with(StartOutcome.Late, StartOutcome.OtherIncarnation, () => {
                 this.owner.finish(run, RunResult.NotStarted, outcome);
             })
+            .with(StartOutcome.Unreachable, () => {
+                this.owner.finishUnanswered(run, RunResult.NotStarted, outcome);
+            })
             .exhaustive();
     }
 
@@ -207,7 +221,7 @@
             return;
         }
         if (this.session.isLost) {
-            this.owner.finish(run, RunResult.Stopped, "endpoint lost");
+            this.owner.finishUnanswered(run, RunResult.Stopped, "endpoint lost");
             return;
         }
         run.restartAfterStop = run.stopReason === undefined;
--- a/src/agent/leased/lateStarts.test.ts
+++ b/src/agent/leased/lateStarts.test.ts
@@ -4,6 +4,7 @@
 import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
 import type { EndpointCallKind } from "../../emulator/EndpointCallKind.js";
 import { findOverlappingRuns } from "../../emulator/findOverlappingRuns.js";
+import type { RunRecord } from "../../emulator/RunRecord.js";
 
 const ID = "00000000000000aa";
 
@@ -22,10 +23,14 @@
  */
 const RESTART_MS = 79;
 
+/** Delays after which the first start is executed soon after a restart, before the agent has reached the endpoint. */
+const START_DELAYS_MS = [201, 205, 210, 220, 240];
+
 /** Events at the endpoint of the first start, at times after the job. */
 interface Scenario {
     readonly crashMs?: number;
-    readonly restartMs: number;
+    /** Undefined when the endpoint does not start again. */
+    readonly restartMs?: number;
     /** Delay after which the first start is carried out. */
     readonly startDelayMs: number;
     /** Delivery of other calls to the endpoint of the first start. */
@@ -76,6 +81,11 @@
     return deployment;
 }
 
+/** Whether nothing has ended the run before its task is done. */
+function isWhole({ how }: RunRecord): boolean {
+    return how === "done" || how === undefined;
+}
+
 describe("a start that is carried out in the next incarnation of its endpoint", () => {
     // The stop was accepted by the earlier incarnation; the list that follows is of the next one and rules nothing out.
     it("guards against a list of another incarnation than the one that accepted the stop", async () => {
@@ -104,4 +114,30 @@
         });
         assert.equal(findOverlappingRuns(deployment.records), undefined);
     });
+
+    for (const startDelayMs of START_DELAYS_MS) {
+        // The earlier incarnation has ruled the first start out and ends while it runs the second one.
+        it(`guards against a run beside that of a task whose start a crashed incarnation has ruled out, ${startDelayMs} ms before`, async () => {
+            const deployment = await simulateLateStart({ crashMs: 100, restartMs: 200, startDelayMs });
+            assert.equal(findOverlappingRuns(deployment.records), undefined);
+            assert.ok(deployment.records.some(isWhole));
+        });
+    }
+
+    // A start to an endpoint that is down was not executed, but an earlier one of the task may still be.
+    it("guards against a run beside that of a task returned at a refused connection after an unanswered start", async () => {
+        const deployment = await simulateLateStart({
+            crashMs: 67,
+            restartMs: 200,
+            startDelayMs: 205,
+        });
+        assert.equal(findOverlappingRuns(deployment.records), undefined);
+        assert.ok(deployment.records.some(isWhole));
+    });
+
+    // Nothing proves the end of the start while the endpoint is away.
+    it("guards against a task that is not placed again when its endpoint does not start again", async () => {
+        const deployment = await simulateLateStart({ crashMs: 100, startDelayMs: 2000 });
+        assert.ok(deployment.records.some(isWhole));
+    });
 });
