Renew the endpoint lease only for runs that a list has shown

An agent process that has just started renewed the lease of the runs of the process before it without knowing of them: a response that is no list, of an unhealthy endpoint or about the fence, carries the endpoint's clock too, and polls renewed the lease as soon as the clock was known. Those runs then live on for up to the lease after the first such poll, and their entries place the tasks elsewhere 1200 ms after the loss. The same held for polls after a loss, when the runs have been returned, and for a poll that a missing start led to after the agent had closed its connections.

Found by reading.

Now polls renew nothing while the endpoint counts as lost, which it does from the start of the agent, or of an incarnation, to the first list, and a session that has been disposed sends no polls.

--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -149,6 +149,53 @@
         });
     });
 
+    describe("an endpoint whose clock is known before its run list", () => {
+        // Responses other than lists have the clock too, such as those of an unhealthy endpoint or about the fence.
+        for (const outcome of [PollOutcome.Unanswered, PollOutcome.Fenced]) {
+            it(`guards against a lease that is renewed for unknown runs of an earlier process, outcome ${outcome}`, async () => {
+                const clock = new VirtualClock();
+                const renewals: (number | undefined)[] = [];
+                const control: EndpointControl = {
+                    ...failingEndpoint(clock, outcome, () => undefined),
+                    poll: ({ untilMs }) => {
+                        renewals.push(untilMs);
+                        return Promise.resolve({ outcome, clockMs: 1000 + clock.now(), list: undefined });
+                    },
+                };
+                const session = new EndpointSession(control, clock, new SilentLog(), 1);
+                session.handleHeartbeat(REPORT);
+                await pass(clock, 500);
+                assert.ok(renewals.length > 1);
+                assert.deepEqual([...new Set(renewals)], [undefined]);
+                session.dispose();
+            });
+        }
+    });
+
+    describe("an agent that has stopped", () => {
+        // A start whose response is missing is resolved by a poll, also while the process ends.
+        it("guards against a lease that is renewed after the agent has closed its connections", async () => {
+            const clock = new VirtualClock();
+            const endpoint = healthyEndpoint(clock, 1);
+            let polls = 0;
+            const control: EndpointControl = {
+                ...failingEndpoint(clock, PollOutcome.Unanswered, () => undefined),
+                poll: call => {
+                    polls += 1;
+                    return endpoint.poll(call);
+                },
+            };
+            const session = new EndpointSession(control, clock, new SilentLog(), 1);
+            session.handleHeartbeat(REPORT);
+            await pass(clock, 20);
+            session.dispose();
+            const before = polls;
+            void session.pollNow();
+            await pass(clock, 500);
+            assert.equal(polls, before);
+        });
+    });
+
     describe("an endpoint that deregisters and comes back", () => {
         // A start to the earlier incarnation takes effect in the next one unless that has seen a higher fence.
         it("guards against an incarnation that is called under the fence of an earlier one", () => {
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -319,16 +319,14 @@
      */
     private async poll(waitMs: number): Promise<RunList | undefined> {
         const report = this.currentReport;
-        if (report === undefined) {
+        if (report === undefined || this.disposed) {
             return undefined;
         }
         this.leaseRenewals.fire(undefined);
         const sentAt = this.clock.now();
         const fence = this.fenceNumber;
         const clockMs = this.clockEstimate.now();
-        // An endpoint that leaves and no longer answers gets no renewals, so that its last lease expires.
-        const isSilent = this.leaving && this.failedPolls.count > 0;
-        const untilMs = clockMs === undefined || isSilent
+        const untilMs = clockMs === undefined || !this.renewsLease
             ? undefined
             : Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.leaseLimitMs);
         this.renewedAt = untilMs === undefined ? this.renewedAt : sentAt;
@@ -403,6 +401,15 @@
         }
     }
 
+    /**
+     * Whether polls renew the endpoint lease. Until a list has shown which runs are there, they may be those of an earlier
+     * agent process, or have been returned. An endpoint that leaves and no longer answers gets no renewals, so that its
+     * last lease expires.
+     */
+    private get renewsLease(): boolean {
+        return !this.lost && !(this.leaving && this.failedPolls.count > 0);
+    }
+
     private pause(ms: number): Promise<void> {
         return new Promise(resolve => {
             this.clock.schedule(ms, resolve);
