Let a draining agent wait for orders that are on their way

Callers saw tasks that waited 1200 ms: an agent without runs ended at once at its SIGTERM, so an order that was on its way found a closed connection, and its entry could only count the task as lost with the agent.

The agent now drains for at least 300 ms, the time after which it also closes a connection that it releases.

--- a/src/agent/leased/LeasedAgent.ts
+++ b/src/agent/leased/LeasedAgent.ts
@@ -16,6 +16,9 @@
 /** Interval at which a draining agent checks whether its runs have ended. */
 const DRAIN_CHECK_MS = 25;
 
+/** Time that a draining agent waits for orders that its entries sent before they were notified. */
+const ORDERS_IN_FLIGHT_MS = 300;
+
 /**
  * Interval between adjustments of the number of entry connections. The agent counts that entries report lag some
  * seconds behind such changes.
@@ -100,14 +103,15 @@
     }
 
     /**
-     * Stops accepting orders and waits up to `limitMs` for the runs to end. Returns the tasks of the runs that are
-     * left.
+     * Stops accepting orders and waits up to `limitMs` for the runs to end, also for those of orders that are on their
+     * way. Returns the tasks of the runs that are left.
      */
     public async drain(limitMs: number): Promise<readonly string[]> {
         this.runtime.log.write(LeaseEvent.Draining, { runs: this.runs.count, limitMs });
         this.links.stopAccepting();
-        const until = this.runtime.clock.now() + limitMs;
-        while (this.runs.count > 0 && this.runtime.clock.now() < until) {
+        const from = this.runtime.clock.now();
+        const elapsedMs = (): number => this.runtime.clock.now() - from;
+        while (elapsedMs() < limitMs && (this.runs.count > 0 || elapsedMs() < ORDERS_IN_FLIGHT_MS)) {
             await new Promise<void>(resolve => {
                 this.runtime.clock.schedule(DRAIN_CHECK_MS, resolve);
             });
