--- a/src/agent/leased/FailedPolls.ts
+++ b/src/agent/leased/FailedPolls.ts
@@ -10,7 +10,8 @@
 
 /**
  * Minimum time between two refused connections, with nothing else between them, after which the endpoint's process
- * counts as ended. A reset of connections also refuses those that are being opened at that moment.
+ * counts as ended. A process that listens refuses none, because a full queue of new connections drops them; only a reset
+ * of connections also refuses those that are being opened at that moment.
  */
 const MIN_REFUSED_MS = 30;
 
