Return an aborted task when its start finds no room

An entry that aborted a task whose start was on its way saw a later start of it: the answer "no room" put the run back among the waiting ones, which are started with the next list whatever their abort. The start was sent again until its window of 400 ms was over, or ran until the stop that followed its answer; the entry heard of the end only then.

handleStartResponse set the phase without looking at the reason to stop, which stop() leaves for the answer when the phase is "starting". A run that was stopped meanwhile is now returned at the answer, which says that it was not started. Two runs at once could not follow from it: the task is returned after the last of these starts, as before.

Found in review. The test failed before with "3 !== 1" starts.

--- a/src/agent/leased/RunCalls.test.ts
+++ b/src/agent/leased/RunCalls.test.ts
@@ -1,8 +1,16 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import { NO_RESOURCES } from "../../common/leased/NO_RESOURCES.js";
+import { RunResult } from "../../common/leased/RunResult.js";
+import { SilentLog } from "../../common/log/SilentLog.js";
+import { VirtualClock } from "../../common/VirtualClock.js";
 import { CallDelivery } from "../../emulator/CallDelivery.js";
 import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import { EmulatedEndpoint } from "../../emulator/EmulatedEndpoint.js";
 import { findOverlappingRuns } from "../../emulator/findOverlappingRuns.js";
+import { EndpointRuns } from "./EndpointRuns.js";
+import { EndpointSession } from "./EndpointSession.js";
 
 const ID = "00000000000000aa";
 const SETUP = { entries: 1, seed: 1, cpu: 64_000, taskCpu: 6000 } as const;
@@ -13,6 +21,36 @@
 /** Wait of a poll for a finished run: polls sent earlier than this before the job show nothing of it. */
 const POLL_WAIT_MS = 200;
 
+const TASK = `${ID}.0.0.0`;
+
+const ORDER = {
+    kind: "run",
+    order: 1,
+    job: ID,
+    spec: "",
+    need: { cpu: SETUP.taskCpu, memoryMb: 1, gpu: 0 },
+    estimateMs: 300,
+    tenureUntilMs: 0,
+    tasks: [{ name: TASK, run: 1 }],
+} as const;
+
+const HEARTBEAT = {
+    life: { id: "endpoint", bornMs: 1 },
+    service: "service",
+    capacity: { cpu: SETUP.cpu, memoryMb: 1000, gpu: 0 },
+    labels: [],
+    draining: false,
+    sequence: 1,
+};
+
+/** Advances the clock in steps, between which promises settle. */
+async function pass(clock: VirtualClock, ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 1) {
+        clock.advance(1);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+}
+
 describe("RunCalls", () => {
     describe("an unanswered start whose polls are reset", () => {
         // The poll after the stop fails at once, while the run that the stop ends is there for 50 ms more.
@@ -68,4 +106,38 @@
             assert.ok(deployment.records.some(({ endpoint }) => endpoint === "endpoint-0"));
         });
     });
+
+    describe("an order that is aborted while its start is answered", () => {
+        // The endpoint has less room than the agent has calculated, so the start is answered after the abort, without
+        // a run.
+        it("guards against a start that is sent again after its order was aborted", async () => {
+            let starts = 0;
+            const clock = new VirtualClock();
+            const endpoint = new EmulatedEndpoint(clock, {
+                id: "endpoint",
+                bornMs: 1,
+                capacity: NO_RESOURCES,
+                work: () => ({ ms: 300, how: "done" }),
+                cpuOf: () => ORDER.need.cpu,
+                deliveryOf: call => {
+                    starts += call === "start" ? 1 : 0;
+                    return CallDelivery.Answered;
+                },
+            });
+            const session = new EndpointSession(endpoint, clock, new SilentLog(), 1);
+            const runs = new EndpointRuns(session, clock, new SilentLog());
+            session.handleHeartbeat(HEARTBEAT);
+            await pass(clock, WARMUP_MS);
+            const results: string[] = [];
+            runs.onCompletion(({ completion }) => results.push(completion.result));
+            runs.acceptOrder("entry", { ...ORDER, startBeforeMs: WARMUP_MS + LEASE_TIMES.START_WINDOW_MS });
+            await pass(clock, 1);
+            runs.abort("entry", [TASK], "cancelled");
+            await pass(clock, 2 * POLL_WAIT_MS);
+            assert.equal(starts, 1);
+            assert.deepEqual(results, [RunResult.NotStarted]);
+            session.dispose();
+            runs.dispose();
+        });
+    });
 });
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -185,8 +185,8 @@
                 void this.resolveUnanswered(run);
             })
             .with(StartOutcome.NoRoom, () => {
-                run.phase = RunPhase.Waiting;
                 this.owner.blockStarts();
+                this.waitForRoom(run);
             })
             .with(StartOutcome.Stale, () => {
                 void this.resolveRejected(run);
@@ -210,6 +210,14 @@
             .exhaustive();
     }
 
+    /** Lets a run that was not started wait for free capacity, unless it was stopped meanwhile. */
+    private waitForRoom(run: OrderedRun): void {
+        run.phase = RunPhase.Waiting;
+        if (run.stopReason !== undefined) {
+            this.stop(run, run.stopReason);
+        }
+    }
+
     /**
      * An unanswered start may have taken effect: a run list shows whether it has, and an accepted stop prevents that it
      * still does.
