--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -15,6 +15,7 @@
 import { LateStarts } from "./LateStarts.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
+import { ReportedEnds } from "./ReportedEnds.js";
 import { RunCalls } from "./RunCalls.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
@@ -58,6 +59,7 @@
     private readonly calls: RunCalls;
     private readonly reconciler: RunReconciler;
     private readonly stalls: EndpointStallDetector;
+    private readonly reportedEnds: ReportedEnds;
     /**
      * Whether starts wait for the next run list, because the endpoint had less free capacity than the agent calculated.
      */
@@ -80,6 +82,7 @@
         private readonly log: Log,
     ) {
         this.stalls = new EndpointStallDetector(clock);
+        this.reportedEnds = new ReportedEnds(clock);
         this.checkTimer = new CoalescingTimer(clock, () => {
             this.check();
         });
@@ -237,6 +240,7 @@
     private handleList(list: RunList, sentAt: number): void {
         this.startsBlocked = false;
         this.lateStarts.applyList(list);
+        this.checkReportedEnds(list, sentAt);
         this.reconciler.apply(list, sentAt);
         const hasOrphans = list.running.some(({ task }) => this.table.get(task) === undefined);
         this.orphanedSinceMs = hasOrphans
@@ -245,6 +249,21 @@
         this.startWaiting();
     }
 
+    /** Logs the reports of ended runs that a list requested at `sentAt` contradicts. Runs of later orders do not. */
+    private checkReportedEnds(list: RunList, sentAt: number): void {
+        for (const { task, run } of list.running) {
+            if (this.table.get(task)?.run === run) {
+                continue;
+            }
+            const end = this.reportedEnds.takeContradicted(task, sentAt);
+            if (end !== undefined) {
+                const { completion, reportedAt } = end;
+                const ageMs = Math.round(this.clock.now() - reportedAt);
+                this.log.write(LeaseEvent.ReportContradicted, { ...completion, ageMs, listed: run });
+            }
+        }
+    }
+
     /**
      * Ends all runs. Those that may have been started in the incarnation that has replaced theirs are first stopped
      * there. Starts that are not answered yet may reach the next incarnation, so their responses decide.
@@ -299,6 +318,7 @@
         const waitedMs = Math.round((run.startedAt ?? this.clock.now()) - run.orderedAt);
         this.log.write(LeaseEvent.RunEnded, { ...completion, waitedMs, owner: run.owner, starts: run.starts });
         const orderContinues = this.table.all.some(other => other.owner === run.owner && other.order === run.order);
+        this.reportedEnds.add(completion);
         this.completions.fire({ owner: run.owner, completion, orderContinues });
         this.returnRefused(run);
         this.usageChanges.fire(undefined);
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -56,6 +56,11 @@
         level: LogLevel.Warn,
         text: "endpoint lost, keeping a task until its unanswered start is ruled out",
     },
+    ReportContradicted: {
+        number: 8026,
+        level: LogLevel.Warn,
+        text: "run list shows a run of a task whose end was reported before",
+    },
     EntryAttached: { number: 8020, level: LogLevel.Info, text: "attached to an entry" },
     EntryDetached: { number: 8021, level: LogLevel.Warn, text: "connection to an entry closed" },
     EntryUnreachable: {
