End an aborted run whose start window is over when no list shows it

While an endpoint holds stops back, an aborted run whose start was lost stayed with the agent until a stop was accepted. It bounds the endpoint lease, so the endpoint got no tasks from 240 ms after the abort until then, up to the seconds for which the stops were held back, although no run was there and none could begin.

A start has no effect once its limit on the endpoint's clock has passed. A list that was requested after that and shows no run of the task therefore says that it has not begun and never will, in that incarnation, as an accepted stop followed by a list does. The time of the request on the endpoint's clock is computed from the estimate, which is never ahead.

Found in review.

--- a/src/agent/leased/RunCalls.test.ts
+++ b/src/agent/leased/RunCalls.test.ts
@@ -140,4 +140,33 @@
             runs.dispose();
         });
     });
+
+    describe("an aborted order whose start was lost, while stops are held back", () => {
+        // No list shows the run, and its start has no effect once its window is over.
+        it("guards against an endpoint that gets no tasks until a stop of a run that cannot begin is answered", async () => {
+            const clock = new VirtualClock();
+            const endpoint = new EmulatedEndpoint(clock, {
+                id: "endpoint",
+                bornMs: 1,
+                capacity: HEARTBEAT.capacity,
+                work: () => ({ ms: 300, how: "done" }),
+                cpuOf: () => ORDER.need.cpu,
+                deliveryOf: call => call === "look" ? CallDelivery.Answered : CallDelivery.Lost,
+            });
+            const session = new EndpointSession(endpoint, clock, new SilentLog(), 1);
+            const runs = new EndpointRuns(session, clock, new SilentLog());
+            session.handleHeartbeat(HEARTBEAT);
+            await pass(clock, WARMUP_MS);
+            runs.acceptOrder("entry", { ...ORDER, startBeforeMs: WARMUP_MS + LEASE_TIMES.START_WINDOW_MS });
+            await pass(clock, 1);
+            runs.abort("entry", [TASK], "cancelled");
+            await pass(clock, LEASE_TIMES.START_WINDOW_MS - 10);
+            assert.equal(runs.count, 1);
+            await pass(clock, 2 * POLL_WAIT_MS + 10);
+            assert.equal(runs.count, 0);
+            assert.equal(session.isAvailable, true);
+            session.dispose();
+            runs.dispose();
+        });
+    });
 });
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -62,6 +62,15 @@
         return clockMs < run.startBeforeMs && run.startBeforeMs <= clockMs + 2 * LEASE_TIMES.START_WINDOW_MS;
     }
 
+    /**
+     * Whether the start window of a run was over when a call at `sentAt` was executed. No clock of an endpoint is fast,
+     * so the estimate minus the time since then is not ahead of its clock at that time.
+     */
+    public isAfterStartWindow(run: OrderedRun, sentAt: number): boolean {
+        const { clockMs } = this.session;
+        return clockMs !== undefined && clockMs - (this.clock.now() - sentAt) >= run.startBeforeMs;
+    }
+
     /** Starts a waiting run and handles the response. */
     public async start(run: OrderedRun): Promise<void> {
         const report = this.session.report;
--- a/src/agent/leased/RunReconciler.ts
+++ b/src/agent/leased/RunReconciler.ts
@@ -38,9 +38,21 @@
             if (confirmed && !running.has(run.task)) {
                 this.owner.finish(run, RunResult.Stopped, "no longer listed");
             }
+            else if (!running.has(run.task) && this.cannotBegin(run, sentAt)) {
+                this.owner.finish(run, RunResult.NotStarted, run.stopReason ?? "start window over");
+            }
         }
     }
 
+    /**
+     * Whether a run that is being stopped had not begun before a list requested at `sentAt`, and its starts had no
+     * effect any more.
+     */
+    private cannotBegin(run: OrderedRun, sentAt: number): boolean {
+        const unconfirmed = run.phase === RunPhase.Stopping && run.startedAt === undefined;
+        return unconfirmed && this.calls.isAfterStartWindow(run, sentAt);
+    }
+
     private applyFinished(run: OrderedRun, finished: FinishedRun, list: RunList): void {
         const restart = run.restartAfterStop && finished.result === RunResult.Stopped;
         if (restart && list.running.some(({ task }) => task === run.task)) {
