--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -62,6 +62,15 @@
         return clockMs < run.startBeforeMs && run.startBeforeMs <= clockMs + 2 * LEASE_TIMES.START_WINDOW_MS;
     }
 
+    /**
+     * Whether the start window of a run was over when a call at `sentAt` was executed. No clock of an endpoint is fast,
+     * so the estimate minus the time since then is not ahead of its clock at that time.
+     */
+    public isAfterStartWindow(run: OrderedRun, sentAt: number): boolean {
+        const { clockMs } = this.session;
+        return clockMs !== undefined && clockMs - (this.clock.now() - sentAt) >= run.startBeforeMs;
+    }
+
     /** Starts a waiting run and handles the response. */
     public async start(run: OrderedRun): Promise<void> {
         const report = this.session.report;
@@ -182,8 +191,8 @@
                 void this.resolveUnanswered(run);
             })
             .with(StartOutcome.NoRoom, () => {
-                run.phase = RunPhase.Waiting;
                 this.owner.blockStarts();
+                this.waitForRoom(run);
             })
             .with(StartOutcome.Stale, () => {
                 void this.resolveRejected(run);
@@ -207,6 +216,14 @@
             .exhaustive();
     }
 
+    /** Lets a run that was not started wait for free capacity, unless it was stopped meanwhile. */
+    private waitForRoom(run: OrderedRun): void {
+        run.phase = RunPhase.Waiting;
+        if (run.stopReason !== undefined) {
+            this.stop(run, run.stopReason);
+        }
+    }
+
     /**
      * An unanswered start may have taken effect: a run list shows whether it has, and an accepted stop prevents that it
      * still does.
