Show a second entry's run beside an unanswered one, at one endpoint

Cause: on the code before, an agent that stopped a run with an unanswered start returned its task after a poll that was not answered, and forgot it. The order of the second entry then found the task unknown, and the agent started it while the first run was being stopped.

not ok 8 - guards against a run of each entry at one endpoint whose polls are not answered, 0 ms apart endpoint-0, run 1, from 503 to 558, stopped endpoint-0, run 5, from 515 to 570, stopped

Ruled out: two runs of the same number at one endpoint. The protocol takes a start of a number that is there as the same run, and rejects a number that is not higher than that of a run stopped or ended there.

--- a/src/emulator/resubmittedJobs.test.ts
+++ b/src/emulator/resubmittedJobs.test.ts
@@ -26,13 +26,19 @@
     readonly stops: CallDelivery;
     /** Delivery of starts at the endpoint of the first run. */
     readonly starts?: CallDelivery;
+    /** Delivery of polls at the endpoint of the first run. */
+    readonly polls?: CallDelivery;
+    /** Whether endpoint 1 accepts orders after the second submission. */
+    readonly hasOtherEndpoint?: boolean;
 }
 
 /**
  * Simulates a job whose caller submits it to both of two entries. The first entry orders its task at endpoint 0, whose
  * agent gets the order of the second entry as well; then endpoint 1 accepts orders too.
  */
-async function simulateResubmission({ delayMs, stops, starts }: Resubmission): Promise<EmulatedDeployment> {
+async function simulateResubmission(resubmission: Resubmission): Promise<EmulatedDeployment> {
+    const { delayMs, stops, starts, polls, hasOtherEndpoint = true } = resubmission;
+    const deliveries = { start: starts, stop: stops, look: polls };
     let elapsedMs = -WARMUP_MS;
     const deployment = new EmulatedDeployment({
         entries: 2,
@@ -42,9 +48,8 @@
         taskCpu: 6000,
         work: () => ({ ms: RUN_MS, how: "done" }),
         deliveryOf: (call, _task, endpoint) => {
-            const faulty = endpoint === 0 && elapsedMs < FAULTS_END_MS;
-            const delivery = call === "stop" ? stops : call === "start" ? starts : undefined;
-            return faulty && delivery !== undefined ? delivery : CallDelivery.Answered;
+            const faulty = endpoint === 0 && elapsedMs >= 0 && elapsedMs < FAULTS_END_MS;
+            return faulty ? deliveries[call] ?? CallDelivery.Answered : CallDelivery.Answered;
         },
     });
     deployment.deliverHeartbeat(1, 1, 2, true);
@@ -55,7 +60,7 @@
         if (elapsedMs === delayMs) {
             void deployment.submit(1, ID, 1, RUN_MS, undefined, 2 * RUN_MS);
         }
-        if (elapsedMs === delayMs + 1) {
+        if (elapsedMs === delayMs + 1 && hasOtherEndpoint) {
             deployment.deliverHeartbeat(1, 1, 3);
         }
         await deployment.advance(1);
@@ -82,5 +87,18 @@
             const starts = CallDelivery.AnswerReset;
             assertNoOverlap(await simulateResubmission({ delayMs, stops: CallDelivery.Answered, starts }));
         });
+
+        // The agent returns the task of the first entry and starts that of the second.
+        it(`guards against a run of each entry at one endpoint whose polls are not answered, ${delayMs} ms apart`, async () => {
+            assertNoOverlap(
+                await simulateResubmission({
+                    delayMs,
+                    stops: CallDelivery.Answered,
+                    starts: CallDelivery.AnswerReset,
+                    polls: CallDelivery.ConnectionReset,
+                    hasOtherEndpoint: false,
+                }),
+            );
+        });
     }
 });
