Renew no lease for a run that is only kept until it is ruled out

The agent had kept the task, so its run counted as no orphan, and stopUncertain had lifted the limit of its lease. Polls renewed the lease until the task was done, past the 1300 ms after which its caller submits again.

A task whose endpoint was lost is kept only to rule its starts out, so a run of it that a list shows now holds the lease as an orphaned run does. After a loss without another incarnation the limit stays; that of an earlier incarnation is on a clock that has ended, and is dropped.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -65,10 +65,10 @@
      */
     private startsBlocked = false;
     /**
-     * Time on the endpoint's clock since when run lists show orphaned runs, which no attached entry has ordered;
-     * infinite while they show none.
+     * Time on the endpoint's clock since when run lists show orphaned runs, which no attached entry has ordered, or runs
+     * whose endpoint was lost; infinite while they show none.
      */
-    private orphanedSinceMs = Number.POSITIVE_INFINITY;
+    private unwantedSinceMs = Number.POSITIVE_INFINITY;
     private readonly checkTimer: CoalescingTimer;
 
     /** Fires with each run that has ended or will never begin. */
@@ -96,7 +96,7 @@
         };
         this.calls = new RunCalls(session, this.table, this.lateStarts, owner, clock, log);
         this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
-        session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.orphanedSinceMs));
+        session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.unwantedSinceMs));
         session.setHasRuns(() => this.table.size > 0);
         session.onDeregistered(() => this.startWaiting());
         session.onList(({ list, sentAt }) => {
@@ -192,6 +192,7 @@
             leaseLimitMs: Number.POSITIVE_INFINITY,
             stopDueAt: 0,
             restartAfterStop: false,
+            endpointLost: false,
             returnLostAt: Number.POSITIVE_INFINITY,
             refusedOwners: new Set(),
         });
@@ -251,9 +252,9 @@
         this.lateStarts.applyList(list);
         this.checkReportedEnds(list, sentAt);
         this.reconciler.apply(list, sentAt);
-        const hasOrphans = list.running.some(({ task }) => this.table.get(task) === undefined);
-        this.orphanedSinceMs = hasOrphans
-            ? Math.min(this.orphanedSinceMs, this.session.clockMs ?? 0)
+        const hasUnwanted = list.running.some(({ task }) => this.table.get(task)?.endpointLost ?? true);
+        this.unwantedSinceMs = hasUnwanted
+            ? Math.min(this.unwantedSinceMs, this.session.clockMs ?? 0)
             : Number.POSITIVE_INFINITY;
         this.startWaiting();
     }
@@ -281,13 +282,15 @@
         this.slowdown.reset();
         this.stalls.reset();
         this.calls.reset();
-        this.orphanedSinceMs = Number.POSITIVE_INFINITY;
+        this.unwantedSinceMs = Number.POSITIVE_INFINITY;
         if (replaced) {
             this.lateStarts.handleReplacement();
         }
         for (const run of this.table.all) {
             const began = run.phase !== RunPhase.Waiting;
             if (replaced && (began || this.lateStarts.has(run.task))) {
+                // A limit on the clock of the incarnation that has ended says nothing on that of the next one.
+                run.leaseLimitMs = Number.POSITIVE_INFINITY;
                 this.calls.stopUncertain(run, reason);
                 continue;
             }
--- a/src/agent/leased/OrderedRun.ts
+++ b/src/agent/leased/OrderedRun.ts
@@ -32,6 +32,11 @@
     stopDueAt: number;
     /** Whether the task is started again once the stop of an unconfirmed start has taken effect. */
     restartAfterStop: boolean;
+    /**
+     * Whether its endpoint was lost since it was ordered. It is only kept until it is ruled out, so a run of it that a
+     * list shows is as unwanted as an orphaned one.
+     */
+    endpointLost: boolean;
     /** Time from which the task is returned although its endpoint is lost and a start of it may still be executed. */
     returnLostAt: number;
     /** Connections of entries whose order of the same task was refused because of this run. */
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -128,7 +128,7 @@
         run.stopReason ??= reason;
         run.restartAfterStop = false;
         run.startedAt = undefined;
-        run.leaseLimitMs = Number.POSITIVE_INFINITY;
+        run.endpointLost = true;
         run.phase = RunPhase.Stopping;
         this.sendStop(run);
     }
--- a/src/agent/leased/lateStarts.test.ts
+++ b/src/agent/leased/lateStarts.test.ts
@@ -26,8 +26,16 @@
 /** Delays after which the first start is executed soon after a restart, before the agent has reached the endpoint. */
 const START_DELAYS_MS = [201, 205, 210, 220, 240];
 
+/** Time after the job at which the caller disconnects, where it does. */
+const DISCONNECT_MS = 20;
+
+/** A caller that has lost its response submits again after this time. */
+const RESUBMIT_MS = 1300;
+
 /** Events at the endpoint of the first start, at times after the job. */
 interface Scenario {
+    /** Time at which the caller disconnects; undefined when it stays. */
+    readonly disconnectMs?: number;
     readonly crashMs?: number;
     /** Undefined when the endpoint does not start again. */
     readonly restartMs?: number;
@@ -41,7 +49,9 @@
  * Simulates one job whose first start, at endpoint 0, is carried out after the endpoint has begun a new incarnation
  * under its id.
  */
-async function simulateLateStart({ crashMs, restartMs, startDelayMs, deliver }: Scenario): Promise<EmulatedDeployment> {
+async function simulateLateStart(scenario: Scenario): Promise<EmulatedDeployment> {
+    const { disconnectMs, crashMs, restartMs, startDelayMs, deliver } = scenario;
+    const caller = new AbortController();
     let starts = 0;
     let nowMs = -WARMUP_MS;
     const deployment = new EmulatedDeployment({
@@ -64,8 +74,11 @@
     });
     deployment.deliverHeartbeat(1, 1, 2, true);
     await deployment.advance(WARMUP_MS);
-    void deployment.submit(0, ID, 1, RUN_MS, undefined, 2 * RUN_MS);
+    void deployment.submit(0, ID, 1, RUN_MS, caller.signal, 2 * RUN_MS);
     for (nowMs = 0; nowMs < RUN_MS; nowMs += 1) {
+        if (nowMs === disconnectMs) {
+            caller.abort();
+        }
         if (nowMs === crashMs) {
             deployment.endpoints[0]?.crash();
         }
@@ -98,6 +111,25 @@
         assert.equal(findOverlappingRuns(deployment.records), undefined);
     });
 
+    for (const crashMs of [30, 67, 100]) {
+        for (const restartMs of [150, 200]) {
+            // The task is kept until its start is ruled out; polls must not renew the lease of a run of it meanwhile.
+            it(`guards against a run that outlives its caller, crash after ${crashMs} ms, restart after ${restartMs} ms`, async () => {
+                const deployment = await simulateLateStart({
+                    disconnectMs: DISCONNECT_MS,
+                    crashMs,
+                    restartMs,
+                    startDelayMs: restartMs + 5,
+                    deliver: call => call === "stop" ? CallDelivery.Lost : CallDelivery.Answered,
+                });
+                for (const { to = Number.POSITIVE_INFINITY } of deployment.records) {
+                    const outlivedMs = to - WARMUP_MS - DISCONNECT_MS;
+                    assert.ok(outlivedMs < RESUBMIT_MS, `${outlivedMs} ms`);
+                }
+            });
+        }
+    }
+
     // Refused connections end the earlier incarnation, but not the start that is in flight to the endpoint's id.
     it("guards against a run beside that of a task returned when connections were refused", async () => {
         const deployment = await simulateLateStart({ crashMs: 10, restartMs: 200, startDelayMs: 700 });
