Return kept tasks only through losses and lists

check() returned a task that is kept for a late start once its time was up while the endpoint counted as lost. A loss is repeated with each failed poll and applies that time itself, so the branch acted alone only where another incarnation was known but had not listed its runs yet, and the late start may run there. Found in the review, by reading.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -358,9 +358,6 @@
             if (run.phase === RunPhase.Waiting && !this.calls.isInStartWindow(run)) {
                 this.calls.stop(run, "no room in time");
             }
-            else if (run.phase === RunPhase.Stopping && this.session.isLost && this.clock.now() >= run.returnLostAt) {
-                this.finish(run, RunResult.Stopped, "endpoint lost");
-            }
             else if (run.phase === RunPhase.Stopping && this.clock.now() >= run.stopDueAt) {
                 this.log.write(LeaseEvent.StopRepeated, { task: run.task, run: run.run });
                 this.calls.sendStop(run);
