--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -5,9 +5,9 @@
 import type { Log } from "../../common/log/Log.js";
 import { EndpointClockEstimate } from "./EndpointClockEstimate.js";
 import type { EndpointControl } from "./EndpointControl.js";
+import { EndpointDeparture } from "./EndpointDeparture.js";
 import type { EndpointReport } from "./EndpointReport.js";
 import { FailedPolls } from "./FailedPolls.js";
-import { isOlderReport } from "./isOlderReport.js";
 import { isSameIncarnation } from "./isSameIncarnation.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import { nameIncarnation } from "./nameIncarnation.js";
@@ -76,10 +76,7 @@
      * it.
      */
     private restored = false;
-    /** Whether the endpoint has deregistered: it may go on for seconds, and its runs with it. */
-    private leaving = false;
-    /** Last report of the endpoint that has left. */
-    private departedReport: EndpointReport | undefined;
+    private readonly departure = new EndpointDeparture();
     private disposed = false;
     private leaseLimit = (): number => Number.POSITIVE_INFINITY;
     private hasRuns = (): boolean => false;
@@ -94,8 +91,8 @@
     /** Fires when the endpoint has deregistered: it gets no new runs from then on, and its runs go on. */
     public readonly onDeregistered = this.deregistrations.event;
     /**
-     * Fires when nothing that was started at the endpoint runs any more: its incarnation has ended, or the endpoint
-     * lease has expired.
+     * Fires when what was started at the endpoint counts as ended: its incarnation has ended, or the endpoint lease has
+     * expired. Starts that were not answered may still be executed by the next incarnation.
      */
     public readonly onLost = this.losses.event;
 
@@ -130,7 +127,7 @@
 
     /** Whether the endpoint is known and has not deregistered. */
     public get isRegistered(): boolean {
-        return this.currentReport !== undefined && !this.leaving;
+        return this.currentReport !== undefined && !this.departure.isLeaving;
     }
 
     /** Whether the endpoint has answered recently and can be given work. */
@@ -178,7 +175,7 @@
      */
     public handleHeartbeat(report: EndpointReport): void {
         const known = this.currentReport;
-        if (this.isOutdated(report)) {
+        if (this.departure.isOutdated(report, known)) {
             this.log.write(LeaseEvent.HeartbeatIgnored, { endpoint: report.life.id, sequence: report.sequence });
             return;
         }
@@ -190,7 +187,7 @@
         }
         this.currentReport = report;
         this.restored = false;
-        this.leaving = false;
+        this.departure.cancel();
         this.startPolling();
     }
 
@@ -200,7 +197,7 @@
      */
     public handleDeregistration(): void {
         if (this.isRegistered) {
-            this.leaving = true;
+            this.departure.begin();
             this.log.write(LeaseEvent.EndpointDeregistered, { endpoint: this.currentReport?.life.id });
             this.deregistrations.fire(undefined);
         }
@@ -237,26 +234,11 @@
         this.losses.dispose();
     }
 
-    /**
-     * Whether a heartbeat says nothing new. A draining one of an endpoint that has deregistered was delayed, whereas a
-     * later ready one shows that the deregistration was of an earlier incarnation.
-     */
-    private isOutdated(report: EndpointReport): boolean {
-        const known = this.currentReport;
-        if (known !== undefined && isOlderReport(report, known)) {
-            return true;
-        }
-        const left = this.leaving ? known : this.departedReport;
-        const hasLeft = left !== undefined && isSameIncarnation(report, left);
-        return hasLeft && (report.draining || report.sequence <= left.sequence);
-    }
-
     /** Forgets the endpoint, which has no runs any more. */
     private forgetEndpoint(reason: string): void {
         this.markLost(reason);
-        this.departedReport = this.currentReport;
+        this.departure.complete(this.currentReport);
         this.currentReport = undefined;
-        this.leaving = false;
     }
 
     private beginIncarnation(report: EndpointReport): void {
@@ -266,7 +248,7 @@
             this.fenceNumber += 1;
         }
         this.hadIncarnation = true;
-        this.leaving = false;
+        this.departure.cancel();
         this.markLost("new life of the endpoint", true);
         this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
         this.acknowledged = 0;
@@ -306,7 +288,7 @@
         while (!this.disposed && this.currentReport !== undefined) {
             const sentAt = this.clock.now();
             const list = await this.poll(POLL_WAIT_MS);
-            if (this.leaving && !this.hasRuns() && (this.lost || list?.running.length === 0)) {
+            if (this.departure.isLeaving && !this.hasRuns() && (this.lost || list?.running.length === 0)) {
                 this.forgetEndpoint("endpoint deregistered");
             }
             const pauseMs = list === undefined
@@ -413,7 +395,7 @@
      * last lease expires.
      */
     private get renewsLease(): boolean {
-        return !this.lost && !(this.leaving && this.failedPolls.count > 0);
+        return !this.lost && !(this.departure.isLeaving && this.failedPolls.count > 0);
     }
 
     private pause(ms: number): Promise<void> {
