Accept tickets that begin with a hyphen on the command line

What callers saw: `status`, `cancel` and `explain` failed with "unknown option" for one ticket in 64.

Cause: a ticket is base64url, whose alphabet has "-", and commander takes an argument that begins with "-" for an option.

Change: the three commands take an unknown option as their ticket and check its form, so a mistyped option still gets an error that names it and nothing is sent. Options of the program stand before the command; otherwise `-V` and `-h` would be read out of a ticket.

--- a/src/cli/registerClientCommands.ts
+++ b/src/cli/registerClientCommands.ts
@@ -2,6 +2,7 @@
 import type { EntryOptions } from "./EntryOptions.js";
 import type { ExitCode } from "./ExitCode.js";
 import { parseNonNegativeInteger } from "./parseNonNegativeInteger.js";
+import { parseTicket } from "./parseTicket.js";
 import type { Terminal } from "./Terminal.js";
 
 const DEFAULT_DEADLINE_MS = 60_000;
@@ -28,18 +29,15 @@
         .action(async (path: string, options: SubmitOptions) => {
             finish(await (await import("./commands/submit.js")).submit(terminal, path, options));
         });
-    client(program.command("status"), "Show a job, or the members and services")
-        .argument("[ticket]")
+    ticketClient(program.command("status"), "Show a job, or the members and services", "[ticket]")
         .action(async (ticket: string | undefined, options: EntryOptions) => {
             finish(await (await import("./commands/showStatus.js")).showStatus(terminal, ticket, options));
         });
-    client(program.command("cancel"), "Cancel a job")
-        .argument("<ticket>")
+    ticketClient(program.command("cancel"), "Cancel a job", "<ticket>")
         .action(async (ticket: string, options: EntryOptions) => {
             finish(await (await import("./commands/cancel.js")).cancel(terminal, ticket, options));
         });
-    client(program.command("explain"), "Show what happened to a job, in order")
-        .argument("<ticket>")
+    ticketClient(program.command("explain"), "Show what happened to a job, in order", "<ticket>")
         .action(async (ticket: string, options: EntryOptions) => {
             finish(await (await import("./commands/explain.js")).explain(terminal, ticket, options));
         });
@@ -83,6 +81,13 @@
         .option("--json", "print JSON");
 }
 
+/** Adds a ticket as argument. The command takes an unknown option as argument, because tickets may begin with "-". */
+function ticketClient(command: Command, description: string, argument: string): Command {
+    return client(command, description)
+        .allowUnknownOption()
+        .argument(argument, "ticket that submit printed", parseTicket);
+}
+
 function collect(url: string, others: readonly string[] = []): readonly string[] {
     return [...others, url];
 }
--- a/src/cli/runCommandLine.ts
+++ b/src/cli/runCommandLine.ts
@@ -16,6 +16,8 @@
     const program = new Command("waxwingshunt")
         .description("Dispatcher for jobs of many sub-second tasks")
         .version(version)
+        // Options of the program stand before the command, so that none is read into a ticket that begins with "-".
+        .enablePositionalOptions()
         .exitOverride()
         .configureOutput({
             writeOut: text => terminal.print(text.trimEnd()),
