End a job whose caller has disconnected before it is submitted

What callers could see: a job goes on at one entry although its caller has left and submits it again elsewhere 1300 ms later: two runs of its tasks, at two endpoints.

Ruled out: that the handler of today reaches this state. It reads the state of the connection and creates the signal in one turn of the event loop; an await between the two would have been enough.

--- a/src/entry/leased/Dispatcher.ts
+++ b/src/entry/leased/Dispatcher.ts
@@ -88,7 +88,8 @@
 
     /**
      * Runs a job and resolves with its outcome. A submission of a job that is already open waits for the same outcome.
-     * `budgetMs` is how long the caller waits; `disconnected` aborts when the caller closes its connection.
+     * `budgetMs` is how long the caller waits; `disconnected` aborts when the caller closes its connection, and may have
+     * aborted before.
      */
     public submit(
         submission: JobSubmission,
@@ -106,9 +107,14 @@
             this.log.write(EntryLeaseEvent.JobJoined, { job: submission.id });
         }
         job.callers += 1;
-        disconnected.addEventListener("abort", () => {
+        if (disconnected.aborted) {
             this.handleDisconnect(job);
-        }, { once: true });
+        }
+        else {
+            disconnected.addEventListener("abort", () => {
+                this.handleDisconnect(job);
+            }, { once: true });
+        }
         return job.outcome;
     }
 
--- a/src/entry/leased/LeasedEntry.test.ts
+++ b/src/entry/leased/LeasedEntry.test.ts
@@ -77,15 +77,14 @@
     readonly clock: StallingClock;
     readonly entry: LeasedEntry;
     /** Submits the test's only job; returns a function that disconnects its caller. */
-    readonly submit: () => () => void;
+    readonly submit: (caller?: AbortController) => () => void;
 }
 
 function createEntry(): Fixture {
     const clock = new StallingClock();
     const runtime = { clock, log: new SilentLog(), metrics: new NoMetrics(), random: new SeededRandom(1) };
     const entry = new LeasedEntry(new RoutingTable(), "e", "d", runtime);
-    const submit = () => {
-        const caller = new AbortController();
+    const submit = (caller = new AbortController()) => {
         const step = {
             count: 1,
             need: NEED,
@@ -144,6 +143,35 @@
         });
     });
 
+    describe("a caller that has already disconnected when its job is submitted", () => {
+        function disconnectedCaller(): AbortController {
+            const caller = new AbortController();
+            caller.abort();
+            return caller;
+        }
+
+        it("guards against running a job that its caller submits again elsewhere", () => {
+            const { clock, entry, submit } = createEntry();
+            const agent = new AttachedAgent(entry, "a");
+            submit(disconnectedCaller());
+            clock.advance(100);
+            assert.deepEqual(agent.ordered, []);
+            assert.equal(entry.dispatcher.stateOf(ID), undefined);
+        });
+
+        it("guards against ending the job of another caller that still waits", () => {
+            const { clock, entry, submit } = createEntry();
+            const agent = new AttachedAgent(entry, "a");
+            const disconnect = submit();
+            clock.advance(1);
+            submit(disconnectedCaller());
+            assert.equal(entry.dispatcher.stateOf(ID), "active");
+            disconnect();
+            assert.equal(entry.dispatcher.stateOf(ID), undefined);
+            assert.deepEqual(agent.ordered, [`${TASK}/1`]);
+        });
+    });
+
     describe("a job that is submitted again at the same entry", () => {
         /** Disconnects the caller and submits its job again while agent `a` has not reported the end of its run. */
         function submitAgain(): Fixture & Readonly<Record<"a" | "b", AttachedAgent>> {
