Keep a task with an unanswered start whatever answer returns it

Callers could see two runs of one task (TWICE): one at an endpoint that has just started again under its id, and one at another endpoint.

Cause: the answers "unhealthy", "invalid", "late" and "another incarnation" to a start returned the task at once, and so did an abort, the end of the start window and a deregistration while it waited. That start was not executed, but an earlier one of the task may still be: what ruled it out in one incarnation does not hold in the next one, which may be the one that has answered.

Now each path that returns a task without a list of the current incarnation leads through finishUnlisted.

Ruled out: checking for an unanswered start in each branch of the answers; the waiting tasks would have needed the same in three more places.

The five cases of returnedTasks.test.ts failed before: a run was at the endpoint for 236 ms after the return of its task. A sixth guards the common path and passed before. EmulatedRuns holds their set-up. The other tests of starts and runs in src/agent/leased pass as before.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -89,8 +89,8 @@
         this.lateStarts = new LateStarts(clock);
         const owner = {
             finish: (run: OrderedRun, result: RunResult, reason: string) => this.finish(run, result, reason),
-            finishUnanswered: (run: OrderedRun, result: RunResult, reason: string) =>
-                this.finishUnanswered(run, result, reason),
+            finishUnlisted: (run: OrderedRun, result: RunResult, reason: string) =>
+                this.finishUnlisted(run, result, reason),
             blockStarts: () => this.startsBlocked = true,
             watchStops: () => this.checkTimer.fireWithin(CHECK_INTERVAL_MS),
         };
@@ -243,7 +243,7 @@
     private returnWaiting(kept: number, reason: string): void {
         const waiting = this.table.all.filter(run => run.phase === RunPhase.Waiting);
         for (const run of waiting.slice(kept)) {
-            this.finish(run, RunResult.NotStarted, reason);
+            this.finishUnlisted(run, RunResult.NotStarted, reason);
         }
     }
 
@@ -297,23 +297,30 @@
             if (run.phase === RunPhase.Starting) {
                 continue;
             }
-            this.finishUnanswered(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
+            this.finishUnlisted(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
         }
     }
 
     /**
-     * Finishes a run whose endpoint is lost. A task that has an unanswered start stays here until the start is ruled out
-     * in the next incarnation, which may execute it before the agent has reached it, or until `MAX_LOST_MS` later.
+     * Finishes a run that no list of the current incarnation shows to be over. A task that has an unanswered start stays
+     * here until a stop and a list rule the start out in the incarnation that answers them: an answer may be of the
+     * next one, which executes the start as well. Where the endpoint is lost it stays for `MAX_LOST_MS` at most.
      */
-    private finishUnanswered(run: OrderedRun, result: RunResult, reason: string): void {
+    private finishUnlisted(run: OrderedRun, result: RunResult, reason: string): void {
+        if (!this.lateStarts.has(run.task) || this.session.report === undefined) {
+            this.finish(run, result, reason);
+            return;
+        }
         const now = this.clock.now();
         run.returnLostAt = Math.min(run.returnLostAt, now + MAX_LOST_MS);
-        if (this.lateStarts.has(run.task) && now < run.returnLostAt) {
-            this.log.write(LeaseEvent.ReturnDelayed, { task: run.task, run: run.run, reason });
-            this.calls.stopUncertain(run, reason);
+        const waitsMs = Math.round(run.returnLostAt - now);
+        if (waitsMs <= 0) {
+            this.log.write(LeaseEvent.ReturnedUnresolved, { task: run.task, run: run.run, reason });
+            this.finish(run, result, reason);
             return;
         }
-        this.finish(run, result, reason);
+        this.log.write(LeaseEvent.ReturnDelayed, { task: run.task, run: run.run, reason, waitsMs });
+        this.calls.stopUncertain(run, reason);
     }
 
     private finish(run: OrderedRun, result: RunResult, reason: string): void {
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -64,7 +64,12 @@
     ReturnDelayed: {
         number: 8032,
         level: LogLevel.Warn,
-        text: "endpoint lost, keeping a task until its unanswered start is ruled out",
+        text: "keeping a task until its unanswered start is ruled out",
+    },
+    ReturnedUnresolved: {
+        number: 8035,
+        level: LogLevel.Warn,
+        text: "returning a task whose unanswered start is not ruled out, its endpoint has not answered in time",
     },
     EntryAttached: { number: 8020, level: LogLevel.Info, text: "attached to an entry" },
     EntryDetached: { number: 8021, level: LogLevel.Warn, text: "connection to an entry closed" },
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -29,10 +29,13 @@
 
 /** Callbacks to the owner of the runs. */
 interface RunOwner {
-    /** Handles a run that has ended or will never begin. */
+    /** Handles a run of which a list of the current incarnation shows that it has ended or will never begin. */
     finish(run: OrderedRun, result: RunResult, reason: string): void;
-    /** Handles a run of which no response of the endpoint shows that it is over: its connections fail. */
-    finishUnanswered(run: OrderedRun, result: RunResult, reason: string): void;
+    /**
+     * Handles a run that is over without such a list. A task that has an unanswered start stays here until the start is
+     * ruled out.
+     */
+    finishUnlisted(run: OrderedRun, result: RunResult, reason: string): void;
     /** Blocks starts until the next run list, because the endpoint has less free capacity than the agent calculated. */
     blockStarts(): void;
     /** Checks regularly for runs whose next stop call is due, until none is left. */
@@ -75,7 +78,7 @@
     public async start(run: OrderedRun): Promise<void> {
         const report = this.session.report;
         if (report === undefined) {
-            this.owner.finish(run, RunResult.NotStarted, "no endpoint known");
+            this.owner.finishUnlisted(run, RunResult.NotStarted, "no endpoint known");
             return;
         }
         run.phase = RunPhase.Starting;
@@ -108,11 +111,8 @@
     public stop(run: OrderedRun, reason: string): void {
         run.stopReason ??= reason;
         run.restartAfterStop = false;
-        if (run.phase === RunPhase.Waiting && this.session.isLost) {
-            this.owner.finishUnanswered(run, RunResult.NotStarted, reason);
-        }
-        else if (run.phase === RunPhase.Waiting) {
-            this.owner.finish(run, RunResult.NotStarted, reason);
+        if (run.phase === RunPhase.Waiting) {
+            this.owner.finishUnlisted(run, RunResult.NotStarted, reason);
         }
         else if (run.phase === RunPhase.Running) {
             run.phase = RunPhase.Stopping;
@@ -202,16 +202,13 @@
                 void this.resolveRejected(run);
             })
             .with(StartOutcome.Unhealthy, () => {
-                this.owner.finish(run, RunResult.Refused, outcome);
+                this.owner.finishUnlisted(run, RunResult.Refused, outcome);
             })
             .with(StartOutcome.Invalid, () => {
-                this.owner.finish(run, RunResult.Failed, outcome);
-            })
-            .with(StartOutcome.Late, StartOutcome.OtherIncarnation, () => {
-                this.owner.finish(run, RunResult.NotStarted, outcome);
+                this.owner.finishUnlisted(run, RunResult.Failed, outcome);
             })
-            .with(StartOutcome.Unreachable, () => {
-                this.owner.finishUnanswered(run, RunResult.NotStarted, outcome);
+            .with(StartOutcome.Late, StartOutcome.OtherIncarnation, StartOutcome.Unreachable, () => {
+                this.owner.finishUnlisted(run, RunResult.NotStarted, outcome);
             })
             .exhaustive();
     }
@@ -235,7 +232,7 @@
             return;
         }
         if (this.session.isLost) {
-            this.owner.finishUnanswered(run, RunResult.Stopped, "endpoint lost");
+            this.owner.finishUnlisted(run, RunResult.Stopped, "endpoint lost");
             return;
         }
         run.restartAfterStop = run.stopReason === undefined;
--- /dev/null
+++ b/src/agent/leased/returnedTasks.test.ts
@@ -0,0 +1,83 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { RunResult } from "../../common/leased/RunResult.js";
+import { CallDelivery } from "../../emulator/CallDelivery.js";
+import { EmulatedRuns } from "../../emulator/EmulatedRuns.js";
+import { StartOutcome } from "./StartOutcome.js";
+
+/** Time after the order at which the first start is executed: after the restart and the response to the second start. */
+const START_DELAY_MS = 100;
+
+/** Longest time from a rejected start to the return of its task when every start was answered. */
+const MAX_RETURN_MS = 10;
+
+/** Longer than it takes to return a task whose endpoint answers. */
+const SETTLE_MS = 1000;
+
+interface ReturnedTask {
+    readonly scenario: EmulatedRuns;
+    /** Runs at the endpoint in the milliseconds after the task was returned. */
+    readonly runsAfterReturn: number;
+}
+
+/**
+ * Orders a task whose first start is late: the incarnation of the endpoint that it was sent to rules it out, and the
+ * next one, which executes it, answers the second start with `rejection`. Aborts the order where `aborts` says so.
+ */
+async function simulateRejection(rejection: StartOutcome, aborts: boolean): Promise<ReturnedTask> {
+    let starts = 0;
+    const scenario = new EmulatedRuns({
+        runMs: SETTLE_MS,
+        deliveryDelayMs: START_DELAY_MS,
+        deliveryOf: call => {
+            starts += call === "start" ? 1 : 0;
+            return call === "start" && starts === 1 ? CallDelivery.Delayed : CallDelivery.Answered;
+        },
+        rejectionOf: run => {
+            if (run === 2) {
+                scenario.endpoint.restart(2);
+            }
+            return run === 1 ? undefined : rejection;
+        },
+    });
+    await scenario.warmUp();
+    scenario.order();
+    let runsAfterReturn = 0;
+    for (let nowMs = 0; nowMs < SETTLE_MS; nowMs += 1) {
+        await scenario.advance(1);
+        if (aborts && nowMs === START_DELAY_MS - 10) {
+            scenario.runs.abort("entry", [scenario.task], "cancelled");
+        }
+        runsAfterReturn += scenario.completions.length > 0 ? scenario.runningCount : 0;
+    }
+    scenario.dispose();
+    return { scenario, runsAfterReturn };
+}
+
+describe("a task that is returned without a run", () => {
+    const REJECTIONS = [
+        { rejection: StartOutcome.Unhealthy, aborts: false },
+        { rejection: StartOutcome.Invalid, aborts: false },
+        { rejection: StartOutcome.Late, aborts: false },
+        { rejection: StartOutcome.OtherIncarnation, aborts: false },
+        { rejection: StartOutcome.NoRoom, aborts: true },
+    ];
+    for (const { rejection, aborts } of REJECTIONS) {
+        // The second start was not executed, but the first one still is, in the incarnation that has answered.
+        it(`guards against a run of a task returned although an earlier start was not answered, answer "${rejection}"`, async () => {
+            const { scenario, runsAfterReturn } = await simulateRejection(rejection, aborts);
+            assert.equal(runsAfterReturn, 0);
+            assert.equal(scenario.completions.length, 1);
+        });
+    }
+
+    // A task whose starts were all answered has no start that could still be executed.
+    it("guards against a refused task that is kept although all its starts were answered", async () => {
+        const scenario = new EmulatedRuns({ rejectionOf: () => StartOutcome.Unhealthy });
+        await scenario.warmUp();
+        scenario.order();
+        await scenario.advance(MAX_RETURN_MS);
+        scenario.dispose();
+        assert.deepEqual(scenario.completions.map(({ result }) => result), [RunResult.Refused]);
+    });
+});
