Poll a deregistered endpoint while a late start may be executed there

Callers could see two runs of one task (TWICE). The agent forgot a deregistered endpoint once it had no runs, and noticed a start that the next incarnation under its id executed after that only at the next heartbeat (found in a review).

Now the endpoint is polled until no unanswered start of the last 5 s is left. The poll that finds the next incarnation raises the fence, and its list shows a run that is there already, which is stopped as an orphan.

Ruled out: polling every deregistered endpoint for 5 s, which costs new connections for nothing where all starts were answered.

returnedTasks.test.ts, "guards against a run that nobody has noticed until the next heartbeat", failed before: one run at the endpoint 250 ms after its start, and none after. The test that polls end passes with and without the change. leavingEndpoint.test.ts and EndpointSession.test.ts pass as before.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -97,7 +97,7 @@
         this.calls = new RunCalls(session, this.table, this.lateStarts, owner, clock, log);
         this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
         session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.unwantedSinceMs));
-        session.setHasRuns(() => this.table.size > 0);
+        session.setHasRuns(() => this.table.size > 0 || this.lateStarts.hasAny);
         session.onDeregistered(() => this.startWaiting());
         session.onList(({ list, sentAt }) => {
             this.handleList(list, sentAt);
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -155,7 +155,10 @@
         this.leaseLimit = limit;
     }
 
-    /** Sets the function that returns whether the agent has runs; an endpoint that leaves is polled until it has none. */
+    /**
+     * Sets the function that returns whether the agent has runs, or a late start may still begin one; an endpoint that
+     * leaves is polled until it returns false.
+     */
     public setHasRuns(hasRuns: () => boolean): void {
         this.hasRuns = hasRuns;
     }
--- a/src/agent/leased/LateStarts.ts
+++ b/src/agent/leased/LateStarts.ts
@@ -34,6 +34,11 @@
         return this.byTask.get(task)?.some(({ until }) => this.clock.now() < until) ?? false;
     }
 
+    /** Whether a start of any task may be executed in the next incarnation. */
+    public get hasAny(): boolean {
+        return [...this.byTask.keys()].some(task => this.has(task));
+    }
+
     /** Records that another incarnation was found. */
     public handleReplacement(): void {
         this.replaced = true;
--- a/src/agent/leased/returnedTasks.test.ts
+++ b/src/agent/leased/returnedTasks.test.ts
@@ -11,6 +11,9 @@
 /** Longest time from a rejected start to the return of its task when every start was answered. */
 const MAX_RETURN_MS = 10;
 
+/** Time after which no start is executed late any more. */
+const MAX_LATE_MS = 5500;
+
 /** Longer than it takes to return a task whose endpoint answers. */
 const SETTLE_MS = 1000;
 
@@ -81,3 +84,46 @@
         assert.deepEqual(scenario.completions.map(({ result }) => result), [RunResult.Refused]);
     });
 });
+
+describe("a deregistered endpoint with a late start of a task that was returned", () => {
+    // The agent stops polling the endpoint without runs, so only the next heartbeat would show the run.
+    it("guards against a run that nobody has noticed until the next heartbeat", async () => {
+        const scenario = new EmulatedRuns({
+            runMs: SETTLE_MS,
+            deliveryDelayMs: SETTLE_MS,
+            deliveryOf: call => call === "start" ? CallDelivery.Delayed : CallDelivery.Answered,
+        });
+        await scenario.warmUp();
+        scenario.order();
+        scenario.runs.abort("entry", [scenario.task], "cancelled");
+        await scenario.advance(SETTLE_MS / 2);
+        assert.equal(scenario.completions.length, 1);
+        scenario.session.handleDeregistration();
+        await scenario.advance(SETTLE_MS / 4);
+        scenario.endpoint.restart(2);
+        await scenario.advance(SETTLE_MS / 2);
+        assert.equal(scenario.runningCount, 0);
+        scenario.dispose();
+    });
+
+    // Late starts are executed some seconds later at most.
+    it("guards against a departed endpoint that is polled for ever", async () => {
+        let polls = 0;
+        const scenario = new EmulatedRuns({
+            deliveryOf: call => {
+                polls += call === "look" ? 1 : 0;
+                return call === "start" ? CallDelivery.Lost : CallDelivery.Answered;
+            },
+        });
+        await scenario.warmUp();
+        scenario.order();
+        scenario.runs.abort("entry", [scenario.task], "cancelled");
+        await scenario.advance(SETTLE_MS / 2);
+        scenario.session.handleDeregistration();
+        await scenario.advance(MAX_LATE_MS);
+        polls = 0;
+        await scenario.advance(SETTLE_MS);
+        scenario.dispose();
+        assert.equal(polls, 0);
+    });
+});
