Let refused connections prove nothing at an endpoint that ends as planned

An endpoint that had announced its end and then refused connections for 30 ms counted as ended, so its agent returned the tasks that were running there. It may close its port and go on for seconds: callers could see the task run at two endpoints at once.

Cause: the rule on refused connections rests on the fact that a process that listens refuses none. An endpoint that drains or has deregistered may no longer listen. The deregistration travels on another connection than the polls and may arrive after the port is closed, so draining is enough.

Change: the runs of such an endpoint are over when a list says so, when another incarnation answers, or when the endpoint lease has certainly expired. Renewals are counted by LeaseRenewals: a refused one has not arrived, an unanswered one may have. Without that, refused polls of a draining endpoint put the expiry off for ever. A lost endpoint without runs is forgotten as before. 8003 now has the start time of the incarnation and the ages of the last answer and the last renewal.

A registered endpoint that is not draining keeps the rule of 30 ms. The platform's pages name no restart of a listener alone, Linux drops connections when the accept queue is full instead of refusing them, a reset of connections is covered by the two refusals 30 ms apart, and only ECONNREFUSED counts. Waiting would cost each crashed endpoint's tasks up to 0.7 s.

--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import { SilentLog } from "../../common/log/SilentLog.js";
 import { VirtualClock } from "../../common/VirtualClock.js";
 import { CallDelivery } from "../../emulator/CallDelivery.js";
@@ -14,6 +15,15 @@
 /** Round trip to an endpoint that resets the connection of each call. */
 const ROUND_TRIP_MS = 2;
 
+/** Time that a poll waits at an endpoint for a run to end. */
+const POLL_WAIT_MS = 200;
+
+/** Time until the endpoint lease has certainly expired, after its last renewal. */
+const LEASE_EXPIRY_MS = 683;
+
+/** Longest interval between polls of an endpoint that does not answer. */
+const MAX_POLL_INTERVAL_MS = 160;
+
 /** Round trip of a response that later ones overtake. */
 const SLOW_RESPONSE_MS = 20;
 
@@ -328,6 +338,36 @@
             });
         }
 
+        for (const leaves of ["drains", "deregisters"]) {
+            // It may close its port and go on for seconds.
+            it(`guards against runs that count as ended while their lease may last, at an endpoint that ${leaves}`, async () => {
+                const { clock, session, refuse, reasons } = refusedEndpoint();
+                await pass(clock, 20);
+                session.setHasRuns(() => true);
+                session.handleHeartbeat({ ...REPORT, draining: true, sequence: 2 });
+                if (leaves === "deregisters") {
+                    session.handleDeregistration();
+                }
+                refuse(true);
+                const mayHaveRenewedAt = clock.now() + POLL_WAIT_MS;
+                await pass(clock, LEASE_TIMES.ENDPOINT_LEASE_MS);
+                assert.deepEqual(reasons, []);
+                await pass(clock, mayHaveRenewedAt + LEASE_EXPIRY_MS + MAX_POLL_INTERVAL_MS - clock.now());
+                assert.equal(reasons[0], "endpoint lease expired without a response");
+                session.dispose();
+            });
+        }
+
+        it("guards against polls without end of an endpoint without runs that deregisters and refuses connections", async () => {
+            const { clock, session, refuse } = refusedEndpoint();
+            await pass(clock, 20);
+            refuse(true);
+            session.handleDeregistration();
+            await pass(clock, POLL_WAIT_MS + LEASE_EXPIRY_MS + MAX_POLL_INTERVAL_MS);
+            assert.equal(session.report, undefined);
+            session.dispose();
+        });
+
         it("guards against runs that count as running at an endpoint that has ended", async () => {
             const { clock, session, refuse, reasons } = refusedEndpoint();
             await pass(clock, 20);
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -10,6 +10,7 @@
 import { FailedPolls } from "./FailedPolls.js";
 import { isSameIncarnation } from "./isSameIncarnation.js";
 import { LeaseEvent } from "./LeaseEvent.js";
+import { LeaseRenewals } from "./LeaseRenewals.js";
 import { nameIncarnation } from "./nameIncarnation.js";
 import { PollOutcome } from "./PollOutcome.js";
 import type { RunList } from "./RunList.js";
@@ -26,12 +27,6 @@
 /** Delay of the poll after one that listed finished runs, so that it also lists runs that end meanwhile. */
 const COLLECT_DELAY_MS = 10;
 
-/**
- * Time after the last renewal that may have arrived until the endpoint lease has certainly expired: its length on the
- * slowest clock, plus a margin.
- */
-const LEASE_EXPIRY_MS = LEASE_TIMES.ENDPOINT_LEASE_MS / LEASE_TIMES.MIN_CLOCK_RATE + 30;
-
 /**
  * Step by which the fence is raised when the endpoint has seen a higher one, for example after the VM's wall clock was
  * set back.
@@ -62,13 +57,13 @@
     private readonly deregistrations = new Emitter<undefined>();
     private readonly clockEstimate: EndpointClockEstimate;
     private readonly failedPolls: FailedPolls;
+    private readonly renewals: LeaseRenewals;
     private currentReport: EndpointReport | undefined;
     private acknowledged = 0;
     /** Endpoint's clock at the newest run list. */
     private listedMs = 0;
     private polling = false;
     private answeredAt = Number.NEGATIVE_INFINITY;
-    private renewedAt = Number.NEGATIVE_INFINITY;
     private lost = true;
     private hadIncarnation = false;
     /**
@@ -104,6 +99,7 @@
     ) {
         this.clockEstimate = new EndpointClockEstimate(clock);
         this.failedPolls = new FailedPolls(clock);
+        this.renewals = new LeaseRenewals(clock);
     }
 
     /** Last heartbeat of the current incarnation; undefined before the first one and after its end. */
@@ -272,7 +268,10 @@
     private markLost(reason: string, replaced = false): void {
         if (!this.lost) {
             this.lost = true;
-            this.log.write(LeaseEvent.EndpointLost, { endpoint: this.currentReport?.life.id, reason });
+            const answerAgeMs = Math.round(this.clock.now() - this.answeredAt);
+            const renewalAgeMs = Math.round(this.renewals.ageMs);
+            const { id, bornMs } = this.currentReport?.life ?? {};
+            this.log.write(LeaseEvent.EndpointLost, { endpoint: id, born: bornMs, reason, answerAgeMs, renewalAgeMs });
         }
         this.losses.fire({ reason, replaced });
     }
@@ -317,7 +316,9 @@
         const untilMs = clockMs === undefined || !this.renewsLease
             ? undefined
             : Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.leaseLimitMs);
-        this.renewedAt = untilMs === undefined ? this.renewedAt : sentAt;
+        if (untilMs !== undefined) {
+            this.renewals.begin();
+        }
         const response = await this.control.poll({
             endpoint: report.life.id,
             fence,
@@ -326,6 +327,9 @@
             waitMs: clockMs === undefined ? 0 : waitMs,
             timeoutMs: waitMs + POLL_SLACK_MS,
         });
+        if (untilMs !== undefined) {
+            this.renewals.settle(sentAt, response.outcome === PollOutcome.Unreachable);
+        }
         if (this.currentReport === undefined || !isSameIncarnation(this.currentReport, report)) {
             return undefined;
         }
@@ -376,9 +380,8 @@
             this.raiseFence(fence);
             return;
         }
-        const expired = this.clock.now() - this.answeredAt > LEASE_EXPIRY_MS
-            && this.clock.now() - this.renewedAt > LEASE_EXPIRY_MS;
-        if (this.failedPolls.refusedBefore(sentAt)) {
+        const expired = this.renewals.hasExpired(this.answeredAt);
+        if (this.failedPolls.refusedBefore(sentAt) && !this.isEndingAsPlanned) {
             this.markLost("connection refused");
         }
         else if (outcome === PollOutcome.OtherIncarnation) {
@@ -398,6 +401,14 @@
         return !this.lost && !(this.departure.isLeaving && this.failedPolls.count > 0);
     }
 
+    /**
+     * Whether the endpoint has announced its end. It may close its port and go on for seconds, so refused connections do
+     * not show that its runs have ended.
+     */
+    private get isEndingAsPlanned(): boolean {
+        return this.departure.isLeaving || this.currentReport?.draining === true;
+    }
+
     private pause(ms: number): Promise<void> {
         return new Promise(resolve => {
             this.clock.schedule(ms, resolve);
--- a/src/emulator/CallDelivery.ts
+++ b/src/emulator/CallDelivery.ts
@@ -7,6 +7,8 @@
     Lost: "lost",
     /** Executed after a delay and not answered. */
     Delayed: "late",
+    /** Not executed; the connection is refused, as after the endpoint has closed its port. */
+    Refused: "refused",
     /** Not executed; the connection is reset after one round trip. */
     ConnectionReset: "broken_off",
     /** Executed, but the connection is reset before the response. */
--- a/src/emulator/EmulatedEndpoint.ts
+++ b/src/emulator/EmulatedEndpoint.ts
@@ -207,6 +207,9 @@
                         this.clock.schedule(delayMs, () => resolve(answer));
                     });
                     return;
+                case CallDelivery.Refused:
+                    this.clock.schedule(2 * delayMs, () => resolve(failed(PollOutcome.Unreachable)));
+                    return;
                 case CallDelivery.ConnectionReset:
                     this.clock.schedule(2 * delayMs, () => resolve(unanswered));
                     return;
