Let a heartbeat of another incarnation prove nothing

A heartbeat of another id or a later start time ended the known incarnation before that one had answered. The protocol allows such a heartbeat to arrive after its sender has crashed and a new incarnation has registered at the same address, and wall clocks may jump. Callers could see a task run at two endpoints at once: polls named the id of the crashed sender, the live endpoint answered 421, and that counted as the end of its runs. Its own heartbeats then had the lower start time and were ignored, so the endpoint was never used again. With the same id, its runs were stopped for nothing and it got no tasks for 0.5 s.

Cause: a heartbeat, and the order of start times on wall clocks, were taken for the proof that an incarnation is over.

Change: AnnouncedIncarnation keeps such a heartbeat beside the known incarnation. It is polled at once, under a raised fence, without a renewal and with no acknowledgement. Its own list makes it the current incarnation; a 421 or a list of another one refutes it, and the known one is polled again. Meanwhile the agent takes no orders and the known endpoint lease runs out, so nothing waits without end. Start times are compared only while the known incarnation answers. Entries hear of the result at once, and the report is stored when its incarnation has answered. The clock in a 421 is not taken for that of the incarnation that was called. Stops after a restart name the new incarnation at once. 8035 and 8036 log an announcement and its refutation with their inputs, 8005 what it was compared with.

Ruled out: remembering refuted incarnations. A heartbeat that was delayed is delivered once, and costs one poll.

--- a/src/agent/leased/EndpointDeparture.ts
+++ b/src/agent/leased/EndpointDeparture.ts
@@ -29,11 +29,12 @@
     }
 
     /**
-     * Whether a heartbeat says nothing new beside the last report `known`. A draining one of an endpoint that has
-     * deregistered was delayed, whereas a later ready one shows that the deregistration was of an earlier incarnation.
+     * Whether a heartbeat says nothing new beside the last report `known`, whose incarnation answers at present or not.
+     * A draining one of an endpoint that has deregistered was delayed, whereas a later ready one shows that the
+     * deregistration was of an earlier incarnation.
      */
-    public isOutdated(report: EndpointReport, known: EndpointReport | undefined): boolean {
-        if (known !== undefined && isOlderReport(report, known)) {
+    public isOutdated(report: EndpointReport, known: EndpointReport | undefined, answers: boolean): boolean {
+        if (known !== undefined && isOlderReport(report, known, answers)) {
             return true;
         }
         const left = this.leaving ? known : this.departedReport;
--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -304,6 +304,38 @@
         });
     });
 
+    describe("an endpoint that another one has replaced", () => {
+        it("guards against the clock of the endpoint that answers with another id", async () => {
+            const clock = new VirtualClock();
+            const outcome = PollOutcome.OtherIncarnation;
+            const control: EndpointControl = {
+                ...failingEndpoint(clock, outcome, () => undefined),
+                poll: () =>
+                    new Promise(resolve => {
+                        const response = { outcome, clockMs: 1_000_000, list: undefined };
+                        clock.schedule(ROUND_TRIP_MS, () => resolve(response));
+                    }),
+            };
+            const session = new EndpointSession(control, clock, new SilentLog(), 1);
+            session.handleHeartbeat(REPORT);
+            await pass(clock, 20);
+            assert.equal(session.clockMs, undefined);
+            session.dispose();
+        });
+
+        // The wall clock has jumped, so the delayed heartbeat states the later start time.
+        it("guards against an endpoint that stays unused after a delayed heartbeat came first", async () => {
+            const clock = new VirtualClock();
+            const session = new EndpointSession(healthyEndpoint(clock, 1), clock, new SilentLog(), 1);
+            session.handleHeartbeat({ ...REPORT, life: { id: "earlier", bornMs: 50 } });
+            await pass(clock, 20);
+            session.handleHeartbeat(REPORT);
+            await pass(clock, 20);
+            assert.equal(session.isAvailable, true);
+            session.dispose();
+        });
+    });
+
     describe("an endpoint that is flapping", () => {
         for (const outcome of [PollOutcome.Unanswered, PollOutcome.Unreachable, PollOutcome.OtherIncarnation]) {
             it(`guards against a loop of polls that each open a connection, with the outcome ${outcome}`, async () => {
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -3,6 +3,7 @@
 import { Emitter } from "../../common/Emitter.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Log } from "../../common/log/Log.js";
+import { AnnouncedIncarnation } from "./AnnouncedIncarnation.js";
 import { EndpointClockEstimate } from "./EndpointClockEstimate.js";
 import type { EndpointControl } from "./EndpointControl.js";
 import { EndpointDeparture } from "./EndpointDeparture.js";
@@ -42,6 +43,17 @@
     readonly sentAt: number;
 }
 
+/** Poll for which a response is awaited. */
+interface SentPoll {
+    readonly target: EndpointReport;
+    /** Whether it was sent to an announced incarnation. */
+    readonly announced: boolean;
+    readonly fence: number;
+    readonly sentAt: number;
+}
+
+type PollResponse = Awaited<ReturnType<EndpointControl["poll"]>>;
+
 /** End of an incarnation, or expiry of its endpoint lease. */
 interface EndpointLoss {
     readonly reason: string;
@@ -55,6 +67,8 @@
     private readonly losses = new Emitter<EndpointLoss>();
     private readonly leaseRenewals = new Emitter<undefined>();
     private readonly deregistrations = new Emitter<undefined>();
+    private readonly reports = new Emitter<undefined>();
+    private readonly announced = new AnnouncedIncarnation();
     private readonly clockEstimate: EndpointClockEstimate;
     private readonly failedPolls: FailedPolls;
     private readonly renewals: LeaseRenewals;
@@ -85,6 +99,8 @@
     public readonly onRenewal = this.leaseRenewals.event;
     /** Fires when the endpoint has deregistered: it gets no new runs from then on, and its runs go on. */
     public readonly onDeregistered = this.deregistrations.event;
+    /** Fires when the report has changed by a heartbeat, or another incarnation was announced and does not answer. */
+    public readonly onReport = this.reports.event;
     /**
      * Fires when what was started at the endpoint counts as ended: its incarnation has ended, or the endpoint lease has
      * expired. Starts that were not answered may still be executed by the next incarnation.
@@ -102,7 +118,10 @@
         this.renewals = new LeaseRenewals(clock);
     }
 
-    /** Last heartbeat of the current incarnation; undefined before the first one and after its end. */
+    /**
+     * Last heartbeat of the current incarnation; undefined before the first one and after its end. Another incarnation
+     * becomes the current one when it answers.
+     */
     public get report(): EndpointReport | undefined {
         return this.currentReport;
     }
@@ -129,7 +148,7 @@
     /** Whether the endpoint has answered recently and can be given work. */
     public get isAvailable(): boolean {
         const hasAnswered = this.clock.now() - this.answeredAt < POLL_WAIT_MS + 2 * POLL_SLACK_MS;
-        return this.isRegistered && !this.lost && hasAnswered
+        return this.isRegistered && !this.lost && hasAnswered && this.announced.report === undefined
             && this.leaseLimitMs > (this.clockEstimate.now() ?? 0) + LEASE_TIMES.START_WINDOW_MS;
     }
 
@@ -160,29 +179,33 @@
     public restore(report: EndpointReport): void {
         if (this.currentReport === undefined) {
             this.log.write(LeaseEvent.EndpointRestored, { endpoint: report.life.id, born: report.life.bornMs });
-            this.handleHeartbeat(report);
+            this.beginUnannounced(report);
             this.restored = true;
+            this.startPolling();
         }
     }
 
     /**
-     * Handles a heartbeat. One of an earlier incarnation, an older one of this incarnation, or a delayed one of an
-     * endpoint that has deregistered, is ignored.
+     * Handles a heartbeat. An older one, or a delayed one of an endpoint that has deregistered, is ignored. One of another
+     * incarnation proves nothing about the current one, so that incarnation is polled at once.
      */
     public handleHeartbeat(report: EndpointReport): void {
         const known = this.currentReport;
-        if (this.departure.isOutdated(report, known)) {
-            this.log.write(LeaseEvent.HeartbeatIgnored, { endpoint: report.life.id, sequence: report.sequence });
+        const answers = !this.lost && this.failedPolls.count === 0;
+        const { life, sequence } = report;
+        if (this.departure.isOutdated(report, known, answers)) {
+            const current = { known: known?.life.id, knownBorn: known?.life.bornMs, knownSequence: known?.sequence };
+            this.log.write(LeaseEvent.HeartbeatIgnored, { endpoint: life.id, born: life.bornMs, sequence, ...current });
             return;
         }
-        if (known === undefined || !isSameIncarnation(report, known)) {
-            this.beginIncarnation(report);
+        if (known !== undefined && !isSameIncarnation(report, known)) {
+            this.announce(report, known);
+            return;
         }
-        if (known?.draining !== report.draining) {
-            this.log.write(LeaseEvent.EndpointState, { endpoint: report.life.id, draining: report.draining });
+        if (known === undefined) {
+            this.beginUnannounced(report);
         }
-        this.currentReport = report;
-        this.restored = false;
+        this.acceptReport(report, known);
         this.departure.cancel();
         this.startPolling();
     }
@@ -227,50 +250,97 @@
         this.lists.dispose();
         this.leaseRenewals.dispose();
         this.deregistrations.dispose();
+        this.reports.dispose();
         this.losses.dispose();
     }
 
-    /** Forgets the endpoint, which has no runs any more. */
+    /** Makes a heartbeat of the current incarnation its last one. */
+    private acceptReport(report: EndpointReport, earlier: EndpointReport | undefined): void {
+        if (earlier?.draining !== report.draining) {
+            this.log.write(LeaseEvent.EndpointState, { endpoint: report.life.id, draining: report.draining });
+        }
+        this.currentReport = report;
+        this.restored = false;
+        this.reports.fire(undefined);
+    }
+
+    /**
+     * Polls another incarnation. Calls under the raised fence rule out that it executes calls to the known one that are
+     * still in flight.
+     */
+    private announce(report: EndpointReport, known: EndpointReport): void {
+        if (this.announced.is(report)) {
+            this.announced.update(report);
+            return;
+        }
+        const { life: { id, bornMs }, sequence } = report;
+        const current = { known: known.life.id, knownBorn: known.life.bornMs };
+        this.log.write(LeaseEvent.IncarnationAnnounced, { endpoint: id, born: bornMs, sequence, ...current });
+        this.fenceNumber += 1;
+        this.announced.set(report, this.fenceNumber);
+        void this.poll(0);
+    }
+
+    /** Forgets the announced incarnation, because another one answers. */
+    private refuteAnnouncement(evidence: string): void {
+        const { id, bornMs } = this.announced.take()?.life ?? {};
+        this.log.write(LeaseEvent.AnnouncementRefuted, { endpoint: id, born: bornMs, evidence });
+        this.reports.fire(undefined);
+    }
+
+    /** Forgets the endpoint, which has no runs any more. An announced incarnation takes its place. */
     private forgetEndpoint(reason: string): void {
         this.markLost(reason);
         this.departure.complete(this.currentReport);
         this.currentReport = undefined;
+        const announced = this.announced.take();
+        if (announced !== undefined) {
+            this.beginIncarnation(announced);
+            this.acceptReport(announced, undefined);
+        }
     }
 
-    private beginIncarnation(report: EndpointReport): void {
+    /**
+     * Begins an incarnation that was not announced. Calls to the earlier one that are still in flight have no effect
+     * once this one has seen the higher fence.
+     */
+    private beginUnannounced(report: EndpointReport): void {
         if (this.hadIncarnation) {
-            // Calls to the earlier incarnation that are still in flight have no effect once this one has seen the
-            // higher fence.
             this.fenceNumber += 1;
         }
+        this.beginIncarnation(report);
+    }
+
+    /** Makes `report` that of the current incarnation. The fence has been raised since calls to an earlier one. */
+    private beginIncarnation(report: EndpointReport): void {
+        const earlier = this.currentReport;
         this.hadIncarnation = true;
+        this.restored = false;
+        this.currentReport = report;
         this.departure.cancel();
-        this.markLost("new life of the endpoint", true);
-        this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
         this.acknowledged = 0;
         this.listedMs = 0;
         this.clockEstimate.reset();
         this.failedPolls.reset();
+        this.markLost("new life of the endpoint", true, earlier);
+        this.log.write(LeaseEvent.EndpointFound, { endpoint: report.life.id, born: report.life.bornMs });
     }
-
     /**
-     * Switches to the incarnation that has answered instead of the known one. It may answer before its first heartbeat,
+     * Switches to the incarnation that has answered instead of the expected one. It may answer before its first heartbeat,
      * and what is started in it meanwhile must not count as ended when that heartbeat arrives. Its start time may be
      * the lower one, after the endpoint's wall clock was set back: only one of two incarnations answers.
      */
-    private switchIncarnation(bornMs: number, known: EndpointReport): void {
-        const life = { ...known.life, bornMs };
-        const report = { ...known, life, draining: false, sequence: BEFORE_FIRST_HEARTBEAT };
-        this.beginIncarnation(report);
-        this.currentReport = report;
+    private switchIncarnation(bornMs: number, expected: EndpointReport): void {
+        const life = { ...expected.life, bornMs };
+        this.beginUnannounced({ ...expected, life, draining: false, sequence: BEFORE_FIRST_HEARTBEAT });
     }
 
-    private markLost(reason: string, replaced = false): void {
+    private markLost(reason: string, replaced = false, report = this.currentReport): void {
         if (!this.lost) {
             this.lost = true;
             const answerAgeMs = Math.round(this.clock.now() - this.answeredAt);
             const renewalAgeMs = Math.round(this.renewals.ageMs);
-            const { id, bornMs } = this.currentReport?.life ?? {};
+            const { id, bornMs } = report?.life ?? {};
             this.log.write(LeaseEvent.EndpointLost, { endpoint: id, born: bornMs, reason, answerAgeMs, renewalAgeMs });
         }
         this.losses.fire({ reason, replaced });
@@ -301,18 +371,20 @@
     }
 
     /**
-     * Polls once and returns the list of the known incarnation; undefined without a response, or when another
-     * incarnation answered.
+     * Polls the announced incarnation, or else the current one, and returns the list of the one that is then current;
+     * undefined without a list, or when it was requested before the endpoint was known to be that incarnation.
      */
     private async poll(waitMs: number): Promise<RunList | undefined> {
-        const report = this.currentReport;
-        if (report === undefined || this.disposed) {
+        const target = this.announced.report ?? this.currentReport;
+        if (target === undefined || this.disposed) {
             return undefined;
         }
         this.leaseRenewals.fire(undefined);
+        const announced = this.announced.is(target);
         const sentAt = this.clock.now();
         const fence = this.fenceNumber;
-        const clockMs = this.clockEstimate.now();
+        // The clock and the acknowledged runs are those of the current incarnation.
+        const clockMs = announced ? undefined : this.clockEstimate.now();
         const untilMs = clockMs === undefined || !this.renewsLease
             ? undefined
             : Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.leaseLimitMs);
@@ -320,40 +392,70 @@
             this.renewals.begin();
         }
         const response = await this.control.poll({
-            endpoint: report.life.id,
+            endpoint: target.life.id,
             fence,
             untilMs,
-            acknowledged: this.acknowledged,
+            acknowledged: announced ? 0 : this.acknowledged,
             waitMs: clockMs === undefined ? 0 : waitMs,
             timeoutMs: waitMs + POLL_SLACK_MS,
         });
         if (untilMs !== undefined) {
             this.renewals.settle(sentAt, response.outcome === PollOutcome.Unreachable);
         }
-        if (this.currentReport === undefined || !isSameIncarnation(this.currentReport, report)) {
-            return undefined;
+        return this.handleResponse({ target, announced, fence, sentAt }, response);
+    }
+
+    private handleResponse(poll: SentPoll, response: PollResponse): RunList | undefined {
+        const { target } = poll;
+        const isExpected = this.announced.is(target) || this.isCurrent(target);
+        if (response.outcome === PollOutcome.Listed && response.list !== undefined) {
+            const bornMs = response.list.bornMs ?? target.life.bornMs;
+            const answering = { ...target, life: { ...target.life, bornMs } };
+            const isListed = (isExpected || this.isCurrent(answering)) && this.identify(answering, poll);
+            return isListed ? this.handleList(response.list, poll.sentAt, response.clockMs) : undefined;
+        }
+        if (isExpected) {
+            this.handleFailedPoll(poll, response);
+        }
+        return undefined;
+    }
+
+    /**
+     * Makes the incarnation that has answered a poll the current one. Returns whether its list counts: the poll was sent
+     * with a fence that no call to an earlier incarnation had.
+     */
+    private identify(answering: EndpointReport, poll: SentPoll): boolean {
+        if (this.announced.is(answering)) {
+            const isFenced = poll.fence >= this.announced.fence;
+            const report = this.announced.take() ?? answering;
+            this.beginIncarnation(report);
+            this.acceptReport(report, undefined);
+            return isFenced;
+        }
+        if (this.announced.is(poll.target)) {
+            this.refuteAnnouncement(`list of the incarnation born at ${answering.life.bornMs}`);
         }
-        const bornMs = response.list?.bornMs ?? report.life.bornMs;
-        if (bornMs !== report.life.bornMs && this.restored) {
+        if (this.isCurrent(answering)) {
+            return true;
+        }
+        if (this.restored) {
             // Another incarnation may have another capacity, which only its heartbeat states. Nothing was started in the
             // stored one, because it never answered.
             this.forgetEndpoint("another incarnation answers");
-            return undefined;
-        }
-        if (bornMs !== report.life.bornMs) {
-            this.switchIncarnation(bornMs, report);
-            return undefined;
         }
-        this.clockEstimate.observe(response.clockMs);
-        if (response.outcome === PollOutcome.Listed && response.list !== undefined) {
-            return this.handleList({ list: response.list, sentAt }, response.clockMs);
+        else {
+            this.switchIncarnation(answering.life.bornMs, poll.target);
         }
-        this.handleFailedPoll(response.outcome, fence, sentAt);
-        return undefined;
+        return false;
+    }
+
+    private isCurrent(report: EndpointReport): boolean {
+        return this.currentReport !== undefined && isSameIncarnation(report, this.currentReport);
     }
 
     /** Handles a run list and returns it; undefined when a newer one has been handled before. */
-    private handleList(timed: TimedRunList, clockMs = this.listedMs): RunList | undefined {
+    private handleList(list: RunList, sentAt: number, clockMs: number | undefined): RunList | undefined {
+        this.clockEstimate.observe(clockMs);
         this.answeredAt = this.clock.now();
         this.failedPolls.reset();
         this.restored = false;
@@ -361,33 +463,42 @@
             this.lost = false;
             this.log.write(LeaseEvent.EndpointAnswers, { endpoint: this.currentReport?.life.id });
         }
-        if (clockMs < this.listedMs) {
+        if (clockMs !== undefined && clockMs < this.listedMs) {
             return undefined;
         }
-        this.listedMs = clockMs;
-        this.lists.fire(timed);
-        const numbers = timed.list.finished.map(finished => finished.number);
+        this.listedMs = clockMs ?? this.listedMs;
+        this.lists.fire({ list, sentAt });
+        const numbers = list.finished.map(finished => finished.number);
         this.acknowledged = Math.max(this.acknowledged, ...numbers);
-        return timed.list;
+        return list;
     }
 
-    private handleFailedPoll(outcome: PollOutcome, fence: number, sentAt: number): void {
+    private handleFailedPoll(poll: SentPoll, { outcome, clockMs }: PollResponse): void {
+        const isOther = outcome === PollOutcome.OtherIncarnation;
+        if (isOther && this.announced.is(poll.target)) {
+            this.refuteAnnouncement("an incarnation with another id answers");
+            if (poll.target.life.id !== this.currentReport?.life.id) {
+                return;
+            }
+        }
+        if (!isOther && !poll.announced) {
+            this.clockEstimate.observe(clockMs);
+        }
         this.failedPolls.record(outcome);
         if (this.failedPolls.count === 1) {
-            this.log.write(LeaseEvent.PollFailed, { endpoint: this.currentReport?.life.id, outcome });
+            this.log.write(LeaseEvent.PollFailed, { endpoint: poll.target.life.id, outcome });
         }
         if (outcome === PollOutcome.Fenced) {
-            this.raiseFence(fence);
+            this.raiseFence(poll.fence);
             return;
         }
-        const expired = this.renewals.hasExpired(this.answeredAt);
-        if (this.failedPolls.refusedBefore(sentAt) && !this.isEndingAsPlanned) {
+        if (this.failedPolls.refusedBefore(poll.sentAt) && !this.isEndingAsPlanned) {
             this.markLost("connection refused");
         }
-        else if (outcome === PollOutcome.OtherIncarnation) {
+        else if (isOther) {
             this.markLost("another incarnation answers");
         }
-        else if (expired) {
+        else if (this.renewals.hasExpired(this.answeredAt)) {
             this.markLost("endpoint lease expired without a response");
         }
     }
--- a/src/agent/leased/LeaseEvent.ts
+++ b/src/agent/leased/LeaseEvent.ts
@@ -4,6 +4,16 @@
 /** Log events 8000 to 8499: agents that run tasks under leases. */
 export const LeaseEvent = {
     EndpointFound: { number: 8001, level: LogLevel.Info, text: "new incarnation of the endpoint found" },
+    IncarnationAnnounced: {
+        number: 8035,
+        level: LogLevel.Info,
+        text: "heartbeat names another incarnation of the endpoint, polling it",
+    },
+    AnnouncementRefuted: {
+        number: 8036,
+        level: LogLevel.Warn,
+        text: "another incarnation answers than the one that a heartbeat has named, heartbeat ignored",
+    },
     EndpointAnswers: { number: 8002, level: LogLevel.Info, text: "endpoint answers polls" },
     EndpointLost: { number: 8003, level: LogLevel.Warn, text: "endpoint lost, its runs have ended" },
     EndpointState: { number: 8004, level: LogLevel.Info, text: "endpoint changed its draining state" },
--- a/src/agent/leased/LeasedAgent.ts
+++ b/src/agent/leased/LeasedAgent.ts
@@ -65,6 +65,7 @@
             release: (channel: Channel) => this.links.release(channel),
         };
         this.dialer = this.disposables.add(new EntryDialer(id, target.entries, dial, owner, clock, log));
+        this.session.onReport(() => this.handleReport());
         this.adaptLater();
     }
 
@@ -82,9 +83,6 @@
     /** Handles a heartbeat of the endpoint. */
     public handleHeartbeat(report: EndpointReport): void {
         this.session.handleHeartbeat(report);
-        if (this.session.report === report) {
-            this.options.reportStore?.save(report);
-        }
         this.links.scheduleReports();
     }
 
@@ -124,6 +122,15 @@
         this.disposables.dispose();
     }
 
+    /** Handles a heartbeat of the incarnation that is now the current one, or the end of doubt about it. */
+    private handleReport(): void {
+        const { report } = this.session;
+        if (report !== undefined) {
+            this.options.reportStore?.save(report);
+        }
+        this.links.scheduleReports();
+    }
+
     private adaptLater(): void {
         this.cancelAdapt = this.runtime.clock.schedule(ADAPT_INTERVAL_MS, () => {
             const agents = this.links.agentCounts;
--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -166,9 +166,14 @@
         }
     }
 
-    /** Delivers a heartbeat of the agent's endpoint to the agent, if its process runs. */
-    public deliverHeartbeat(number: number, bornMs: number, sequence: number, draining = false): void {
-        const id = this.endpoints[number]?.life.id ?? "";
+    /** Delivers a heartbeat of the agent's endpoint to the agent, if its process runs; `id` may be of an earlier one. */
+    public deliverHeartbeat(
+        number: number,
+        bornMs: number,
+        sequence: number,
+        draining = false,
+        id = this.endpoints[number]?.life.id ?? "",
+    ): void {
         this.agents.get(number)?.agent.handleHeartbeat({
             life: { id, bornMs },
             service: this.route.service,
