Rule late starts out in the next incarnation with the agent's first call

Cause: the agent raised the fence only once it had found the next incarnation, and its first poll waited there for the end of a run. Now it raises the fence after each unanswered start, so the first call that an incarnation executes rules the start out, also when the response is lost, and polls of a lost endpoint do not wait. A start in flight beside an unanswered one may be refused for its fence and is sent again under the next number.

Ruled out: keeping the task until the time of late starts is over, 5 s beyond the target of every job. A start that is executed before any call of the agent has reached the incarnation cannot be prevented.

--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -221,6 +221,16 @@
         }
     }
 
+    /**
+     * Raises the fence after a start with the fence `sent` was not answered: the first call that any incarnation of the
+     * endpoint executes from then on prevents that the start still takes effect there.
+     */
+    public outdateFence(sent: number): void {
+        if (this.fenceNumber === sent) {
+            this.fenceNumber += 1;
+        }
+    }
+
     /**
      * Polls the run list at once, beside the poll that waits; undefined when the known incarnation did not answer with
      * a list.
@@ -290,7 +300,8 @@
     private async pollLoop(): Promise<void> {
         while (!this.disposed && this.currentReport !== undefined) {
             const sentAt = this.clock.now();
-            const list = await this.poll(POLL_WAIT_MS);
+            // The next incarnation of a lost endpoint would hold a poll back until one of its runs ends.
+            const list = await this.poll(this.lost ? 0 : POLL_WAIT_MS);
             if (this.departure.isLeaving && !this.hasRuns() && (this.lost || list?.running.length === 0)) {
                 this.forgetEndpoint("endpoint deregistered");
             }
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -100,6 +100,7 @@
         const listed = this.table.isCurrent(run) && run.run === number && run.startedAt !== undefined;
         if (response.outcome === StartOutcome.Unanswered && !listed) {
             this.lateStarts.add(run.task, number);
+            this.session.outdateFence(fence);
         }
         if (!this.isStarting(run) || run.run !== number) {
             return;
--- a/src/agent/leased/returnedTasks.test.ts
+++ b/src/agent/leased/returnedTasks.test.ts
@@ -14,6 +14,9 @@
 /** Time after which no start is executed late any more. */
 const MAX_LATE_MS = 5500;
 
+/** Time from the start of an incarnation until the first poll reaches it and its response arrives. */
+const FIRST_POLL_MS = 165;
+
 /** Longer than it takes to return a task whose endpoint answers. */
 const SETTLE_MS = 1000;
 
@@ -127,3 +130,43 @@
         assert.equal(polls, 0);
     });
 });
+
+describe("an endpoint that crashes and starts again after it has ruled a late start out", () => {
+    // The task was returned before the crash, so only the fence can prevent that the next incarnation executes its start.
+    it("guards against a start that is executed after the first poll of the incarnation, whose response is lost", async () => {
+        let restarted = false;
+        const scenario = new EmulatedRuns({
+            deliveryDelayMs: SETTLE_MS + FIRST_POLL_MS,
+            deliveryOf: call => {
+                if (call === "start") {
+                    return CallDelivery.Delayed;
+                }
+                return restarted ? CallDelivery.AnswerLost : CallDelivery.Answered;
+            },
+        });
+        await scenario.warmUp();
+        scenario.order();
+        scenario.runs.abort("entry", [scenario.task], "cancelled");
+        await scenario.advance(SETTLE_MS / 2);
+        assert.equal(scenario.completions.length, 1);
+        scenario.endpoint.crash();
+        await scenario.advance(SETTLE_MS / 2);
+        scenario.endpoint.restart(2);
+        restarted = true;
+        await scenario.advance(SETTLE_MS);
+        scenario.dispose();
+        assert.deepEqual(scenario.endpoint.records, []);
+    });
+
+    // The incarnation has no runs, so its response would come only at the end of the wait.
+    it("guards against an incarnation that is found only once its first poll has waited", async () => {
+        const scenario = new EmulatedRuns({});
+        await scenario.warmUp();
+        scenario.endpoint.crash();
+        await scenario.advance(SETTLE_MS / 2);
+        scenario.endpoint.restart(2);
+        await scenario.advance(FIRST_POLL_MS);
+        scenario.dispose();
+        assert.equal(scenario.session.report?.life.bornMs, 2);
+    });
+});
