Keep a task with an unanswered start when its run is no longer listed

Callers could see two runs of one task (TWICE).

Cause: a list without a confirmed run was taken for the proof that no run of the task can begin. It shows that the run has ended, but not how: its incarnation may have ended with it, and the next one has ruled nothing out. Such a run now leads through finishUnlisted; tasks whose starts were all answered are returned at once as before.

returnedTasks.test.ts, "guards against a run of a task returned because a list of the ending incarnation does not show its run", failed before: a run was there for 86 ms after the return.

--- a/src/agent/leased/RunReconciler.ts
+++ b/src/agent/leased/RunReconciler.ts
@@ -10,6 +10,8 @@
 interface RunFinisher {
     /** Handles a run that has ended or will never begin. */
     finish(run: OrderedRun, result: RunResult, reason: string): void;
+    /** Handles a run that is over although no list says how it has ended: its incarnation may have ended with it. */
+    finishUnlisted(run: OrderedRun, result: RunResult, reason: string): void;
 }
 
 /** Reconciles the runs that an agent knows with the run list of its endpoint. */
@@ -36,7 +38,7 @@
         for (const run of this.table.all) {
             const confirmed = run.startedAt !== undefined && run.startedAt < sentAt;
             if (confirmed && !running.has(run.task)) {
-                this.owner.finish(run, RunResult.Stopped, "no longer listed");
+                this.owner.finishUnlisted(run, RunResult.Stopped, "no longer listed");
             }
             else if (!running.has(run.task) && this.cannotBegin(run, sentAt)) {
                 this.owner.finish(run, RunResult.NotStarted, run.stopReason ?? "start window over");
--- a/src/agent/leased/returnedTasks.test.ts
+++ b/src/agent/leased/returnedTasks.test.ts
@@ -158,6 +158,34 @@
         assert.deepEqual(scenario.endpoint.records, []);
     });
 
+    // The last list of the incarnation does not show the run, which ended with it; the next one executes the first start.
+    it("guards against a run of a task returned because a list of the ending incarnation does not show its run", async () => {
+        let starts = 0;
+        const scenario = new EmulatedRuns({
+            runMs: SETTLE_MS,
+            deliveryDelayMs: SETTLE_MS / 2,
+            resetsConnectionsAtCrash: false,
+            deliveryOf: call => {
+                starts += call === "start" ? 1 : 0;
+                return call === "start" && starts === 1 ? CallDelivery.Delayed : CallDelivery.Answered;
+            },
+        });
+        await scenario.warmUp();
+        scenario.order();
+        await scenario.advance(SETTLE_MS / 4);
+        scenario.endpoint.crash();
+        await scenario.advance(SETTLE_MS / 4 - MAX_RETURN_MS);
+        scenario.endpoint.restart(2);
+        let runsAfterReturn = 0;
+        for (let nowMs = 0; nowMs < SETTLE_MS; nowMs += 1) {
+            await scenario.advance(1);
+            runsAfterReturn += scenario.completions.length > 0 ? scenario.runningCount : 0;
+        }
+        scenario.dispose();
+        assert.equal(scenario.completions.length, 1);
+        assert.equal(runsAfterReturn, 0);
+    });
+
     // The incarnation has no runs, so its response would come only at the end of the wait.
     it("guards against an incarnation that is found only once its first poll has waited", async () => {
         const scenario = new EmulatedRuns({});
--- a/src/emulator/EmulatedRuns.ts
+++ b/src/emulator/EmulatedRuns.ts
@@ -32,6 +32,8 @@
     readonly deliveryDelayMs?: number;
     /** Outcome with which the endpoint answers a start without executing it; undefined when it executes it. */
     readonly rejectionOf?: (run: number) => StartOutcome | undefined;
+    /** Whether a crash resets the connections of waiting polls, as by default; otherwise they get a last list. */
+    readonly resetsConnectionsAtCrash?: boolean;
     readonly log?: Log;
 }
 
@@ -58,7 +60,7 @@
             deliveryOf,
             acceptsCallsToEarlierIncarnations: true,
             refusesWhileDown: true,
-            resetsConnectionsAtCrash: true,
+            resetsConnectionsAtCrash: options.resetsConnectionsAtCrash ?? true,
             ...(deliveryDelayMs === undefined ? {} : { deliveryDelayMs: () => deliveryDelayMs }),
         });
         this.session = new EndpointSession(this.controlOf(options), this.clock, log, 1);
--- a/src/emulator/simulateFaults.test.ts
+++ b/src/emulator/simulateFaults.test.ts
@@ -18,10 +18,10 @@
 /**
  * Regressions. The first three failed for the same cause as `RESETS_SEEDS`. Seed 30010: a start sent to an earlier
  * incarnation was executed after the agent had found the next one. Seed 50237: a start was in flight to the next
- * incarnation when refused connections showed the end of the earlier one. The last four: an unanswered start that only the
+ * incarnation when refused connections showed the end of the earlier one. The last seven: an unanswered start that only the
  * earlier incarnation had ruled out was executed in the next one, beside a run at another endpoint.
  */
-const REBIRTHS_SEEDS = [30063, 30227, 30275, 30010, 50237, 30157, 30183, 30270, 50282];
+const REBIRTHS_SEEDS = [30063, 30227, 30275, 30010, 50237, 30157, 30183, 30270, 50282, 30231, 91393, 301190];
 
 /** Regressions: polls, and starts of other tasks, renewed the endpoint lease of runs whose stops were delayed. */
 const HELD_STOPS_SEEDS = [30002, 30009, 30174, 30222];
