--- a/src/agent/leased/returnedTasks.test.ts
+++ b/src/agent/leased/returnedTasks.test.ts
@@ -14,6 +14,9 @@
 /** Time after which no start is executed late any more. */
 const MAX_LATE_MS = 5500;
 
+/** Time from the start of an incarnation until the first poll reaches it and its response arrives. */
+const FIRST_POLL_MS = 165;
+
 /** Longer than it takes to return a task whose endpoint answers. */
 const SETTLE_MS = 1000;
 
@@ -127,3 +130,71 @@
         assert.equal(polls, 0);
     });
 });
+
+describe("an endpoint that crashes and starts again after it has ruled a late start out", () => {
+    // The task was returned before the crash, so only the fence can prevent that the next incarnation executes its start.
+    it("guards against a start that is executed after the first poll of the incarnation, whose response is lost", async () => {
+        let restarted = false;
+        const scenario = new EmulatedRuns({
+            deliveryDelayMs: SETTLE_MS + FIRST_POLL_MS,
+            deliveryOf: call => {
+                if (call === "start") {
+                    return CallDelivery.Delayed;
+                }
+                return restarted ? CallDelivery.AnswerLost : CallDelivery.Answered;
+            },
+        });
+        await scenario.warmUp();
+        scenario.order();
+        scenario.runs.abort("entry", [scenario.task], "cancelled");
+        await scenario.advance(SETTLE_MS / 2);
+        assert.equal(scenario.completions.length, 1);
+        scenario.endpoint.crash();
+        await scenario.advance(SETTLE_MS / 2);
+        scenario.endpoint.restart(2);
+        restarted = true;
+        await scenario.advance(SETTLE_MS);
+        scenario.dispose();
+        assert.deepEqual(scenario.endpoint.records, []);
+    });
+
+    // The last list of the incarnation does not show the run, which ended with it; the next one executes the first start.
+    it("guards against a run of a task returned because a list of the ending incarnation does not show its run", async () => {
+        let starts = 0;
+        const scenario = new EmulatedRuns({
+            runMs: SETTLE_MS,
+            deliveryDelayMs: SETTLE_MS / 2,
+            resetsConnectionsAtCrash: false,
+            deliveryOf: call => {
+                starts += call === "start" ? 1 : 0;
+                return call === "start" && starts === 1 ? CallDelivery.Delayed : CallDelivery.Answered;
+            },
+        });
+        await scenario.warmUp();
+        scenario.order();
+        await scenario.advance(SETTLE_MS / 4);
+        scenario.endpoint.crash();
+        await scenario.advance(SETTLE_MS / 4 - MAX_RETURN_MS);
+        scenario.endpoint.restart(2);
+        let runsAfterReturn = 0;
+        for (let nowMs = 0; nowMs < SETTLE_MS; nowMs += 1) {
+            await scenario.advance(1);
+            runsAfterReturn += scenario.completions.length > 0 ? scenario.runningCount : 0;
+        }
+        scenario.dispose();
+        assert.equal(scenario.completions.length, 1);
+        assert.equal(runsAfterReturn, 0);
+    });
+
+    // The incarnation has no runs, so its response would come only at the end of the wait.
+    it("guards against an incarnation that is found only once its first poll has waited", async () => {
+        const scenario = new EmulatedRuns({});
+        await scenario.warmUp();
+        scenario.endpoint.crash();
+        await scenario.advance(SETTLE_MS / 2);
+        scenario.endpoint.restart(2);
+        await scenario.advance(FIRST_POLL_MS);
+        scenario.dispose();
+        assert.equal(scenario.session.report?.life.bornMs, 2);
+    });
+});
