Emulate processes that stall, with a fault profile "stalls"

The caller of a stalled entry disconnects and submits again 1300 ms later at another entry; the first entry reads the submission and the end of its connection together when it resumes, places the tasks, and stops them only one turn of its event loop later.

The emulator had no process that stalls. StallingProcess has the event loop of Node.js: due timers first, then all input in order, then what waits for the end of the turn. A closed connection is reported in the turn after the one that reads it. Effects of the callback in which a stall begins come after it. Calls time out on the clock of the process, before a response that arrived meanwhile is read. In the profile entries and agents stall for 100 ms to 3 s, singly and in groups, some processes are always 5 to 100 ms late, and callers of stalled entries disconnect.

--- a/src/emulator/EmulatedChannel.ts
+++ b/src/emulator/EmulatedChannel.ts
@@ -5,6 +5,8 @@
 import { FrameCodec } from "../common/wire/FrameCodec.js";
 import type { Identity } from "../common/wire/Identity.js";
 import type { Message } from "../common/wire/Message.js";
+import type { EmulatedProcess } from "./EmulatedProcess.js";
+import { PromptProcess } from "./PromptProcess.js";
 
 /**
  * One end of an in-memory connection. Messages arrive in order after a fixed delay, encoded and checked as on a
@@ -27,17 +29,22 @@
         public readonly peer: Identity,
         private readonly clock: Clock,
         private readonly delayMs: number,
+        private readonly process: EmulatedProcess,
     ) {}
 
-    /** Returns both ends: the first belongs to `a` and has `b` as its peer. */
+    /**
+     * Returns both ends: the first belongs to `a` and has `b` as its peer. Each is held by a process; by default the
+     * processes handle everything at once.
+     */
     public static pair(
         a: Identity,
         b: Identity,
         clock: Clock,
         delayMs: number,
+        processes: readonly [EmulatedProcess, EmulatedProcess] = [new PromptProcess(clock), new PromptProcess(clock)],
     ): readonly [EmulatedChannel, EmulatedChannel] {
-        const first = new EmulatedChannel(b, clock, delayMs);
-        const second = new EmulatedChannel(a, clock, delayMs);
+        const first = new EmulatedChannel(b, clock, delayMs, processes[0]);
+        const second = new EmulatedChannel(a, clock, delayMs, processes[1]);
         first.remote = second;
         second.remote = first;
         return [first, second];
@@ -45,7 +52,8 @@
 
     public send(message: Message): boolean {
         if (this.open && !this.dropsMessages) {
-            this.transmit(FrameCodec.encode(message));
+            const frame = FrameCodec.encode(message);
+            this.process.send(() => this.transmit(frame));
         }
         return this.open;
     }
@@ -69,7 +77,7 @@
         this.open = false;
         this.closes.fire(reason);
         if (!this.dropsMessages) {
-            this.clock.schedule(this.delayMs, () => this.remote?.close("closed by peer"));
+            this.process.send(() => this.transfer(remote => remote.close("closed by peer")));
         }
     }
 
@@ -82,7 +90,15 @@
             this.heldFrames.push(frame);
             return;
         }
-        this.clock.schedule(this.delayMs, () => this.remote?.deliver(frame));
+        this.transfer(remote => remote.deliver(frame));
+    }
+
+    /** Lets the process of the remote end handle an event after the delay of the network. */
+    private transfer(event: (remote: EmulatedChannel) => void): void {
+        const { remote } = this;
+        if (remote !== undefined) {
+            this.clock.schedule(this.delayMs, () => remote.process.receive(() => event(remote)));
+        }
     }
 
     private deliver(frame: Buffer): void {
--- a/src/emulator/EmulatedDeployment.ts
+++ b/src/emulator/EmulatedDeployment.ts
@@ -1,33 +1,35 @@
 import { EndpointReportStore } from "../agent/leased/EndpointReportStore.js";
 import { LeasedAgent } from "../agent/leased/LeasedAgent.js";
-import type { LinkCountTarget } from "../agent/leased/LinkCountTarget.js";
 import type { JobSubmission } from "../common/leased/JobSubmission.js";
 import type { Route } from "../common/leased/Route.js";
 import { RoutingTable } from "../common/leased/RoutingTable.js";
-import type { Log } from "../common/log/Log.js";
 import { SilentLog } from "../common/log/SilentLog.js";
 import { NoMetrics } from "../common/NoMetrics.js";
 import type { Runtime } from "../common/Runtime.js";
 import { SeededRandom } from "../common/SeededRandom.js";
+import { Verdict } from "../common/Verdict.js";
 import { VirtualClock } from "../common/VirtualClock.js";
 import { Role } from "../common/wire/Role.js";
 import type { JobOutcome } from "../entry/leased/JobOutcome.js";
 import { LeasedEntry } from "../entry/leased/LeasedEntry.js";
 import { CallDelivery } from "./CallDelivery.js";
+import type { DeploymentOptions } from "./DeploymentOptions.js";
 import { EmulatedChannel } from "./EmulatedChannel.js";
 import { EmulatedEndpoint } from "./EmulatedEndpoint.js";
-import type { EndpointCallKind } from "./EndpointCallKind.js";
+import type { EmulatedProcess } from "./EmulatedProcess.js";
 import { MemoryRowStore } from "./MemoryRowStore.js";
 import { ProcessEndpointControl } from "./ProcessEndpointControl.js";
+import { PromptProcess } from "./PromptProcess.js";
 import type { RunRecord } from "./RunRecord.js";
+import { settlePromises } from "./settlePromises.js";
 
 const LINK_DELAY_MS = 1;
 
 /** The clock advances in steps of this length, so that promises settle between timers. */
 const STEP_MS = 1;
 
-/** Microtask queue turns awaited between two clock steps. */
-const SETTLE_TURNS = 12;
+/** Time after which an agent gives an attempt to connect to an entry up. */
+const DIAL_TIMEOUT_MS = 1000;
 
 /** Difference between the fences of two successive agent processes; the fence rises within a process too. */
 const FENCES_PER_PROCESS = 1000;
@@ -35,33 +37,13 @@
 /** Start time of every endpoint's first incarnation. */
 const FIRST_BORN_MS = 1;
 
-interface DeploymentOptions {
-    readonly entries: number;
-    readonly agents: number;
-    readonly seed: number;
-    /** CPU capacity of each endpoint, in thousandths of a core. */
-    readonly cpu: number;
-    /** CPU that each task needs, in thousandths of a core. */
-    readonly taskCpu: number;
-    /** Run time of a task at an endpoint in milliseconds, and how it ends ("done" or "failed"). */
-    readonly work: (task: string, endpoint: number) => { readonly ms: number; readonly how: string; };
-    readonly deliveryOf?: (call: EndpointCallKind, task: string, endpoint: number) => CallDelivery;
-    /** Time until a delayed call is executed, in milliseconds. */
-    readonly deliveryDelayMs?: (call: EndpointCallKind, endpoint: number) => number;
-    /** Whether a restarted endpoint executes delayed calls that were sent to its earlier incarnation. */
-    readonly acceptsCallsToEarlierIncarnations?: boolean;
-    /** Whether an endpoint that is down refuses connections; otherwise calls to it time out. */
-    readonly refusesWhileDown?: boolean;
-    /** Whether a crash of an endpoint resets the connections of waiting polls; otherwise they get a last list. */
-    readonly resetsConnectionsAtCrash?: boolean;
-    /** Number of failure domains over which entries and agents are spread; 1 by default. */
-    readonly failureDomains?: number;
-    /** Rate of the endpoints' clocks; 1 is exact. */
-    readonly clockRate?: number;
-    readonly log?: Log;
-    /** Creates the policy for the number of entries that an agent connects to; agents have a default. */
-    readonly linkTarget?: () => LinkCountTarget;
-}
+/** Stands for the response to a caller that had disconnected before its submission was handled. */
+const DROPPED: JobOutcome = {
+    kind: "refused",
+    verdict: Verdict.MayHaveRun,
+    reason: "the caller has disconnected",
+    retryAfterMs: 0,
+};
 
 interface Link {
     readonly entry: number;
@@ -73,6 +55,7 @@
 interface AgentProcess {
     readonly agent: LeasedAgent;
     readonly control: ProcessEndpointControl;
+    readonly process: EmulatedProcess;
 }
 
 /** Entries, agents and endpoints in one process, on a virtual clock and in-memory connections. */
@@ -95,6 +78,7 @@
     };
     /** Running agent processes by number; a stopped one is missing until its start. */
     private readonly agents = new Map<number, AgentProcess>();
+    private readonly entryProcesses: EmulatedProcess[] = [];
     private readonly stoppedEntries = new Set<number>();
     private readonly reports = new MemoryRowStore();
     private readonly runtime: Runtime;
@@ -108,7 +92,7 @@
             random: new SeededRandom(options.seed),
         };
         for (let number = 0; number < options.entries; number += 1) {
-            this.entries.push(this.createEntry(number));
+            this.createEntry(number);
         }
         for (let number = 0; number < options.agents; number += 1) {
             this.addEndpoint(number);
@@ -127,6 +111,9 @@
         for (let passed = 0; passed < ms; passed += STEP_MS) {
             this.clock.advance(STEP_MS);
             await settlePromises();
+            for (const process of [...this.entryProcesses, ...this.agentProcesses]) {
+                await process.run();
+            }
         }
     }
 
@@ -152,10 +139,15 @@
         };
         const submission: JobSubmission = { id, spec: "spec", steps: [step] };
         const found = this.entries[entry];
-        if (found === undefined) {
+        const process = this.entryProcesses[entry];
+        if (found === undefined || process === undefined) {
             throw new Error(`entry ${entry} does not exist`);
         }
-        return found.dispatcher.submit(submission, { ...this.route, priority }, budgetMs, callerSignal);
+        return process.serve(
+            disconnected => found.dispatcher.submit(submission, { ...this.route, priority }, budgetMs, disconnected),
+            callerSignal,
+            DROPPED,
+        );
     }
 
     /** Drops all further messages on the connections between an entry and an agent, in one direction or both. */
@@ -169,21 +161,28 @@
     /** Delivers a heartbeat of the agent's endpoint to the agent, if its process runs. */
     public deliverHeartbeat(number: number, bornMs: number, sequence: number, draining = false): void {
         const id = this.endpoints[number]?.life.id ?? "";
-        this.agents.get(number)?.agent.handleHeartbeat({
-            life: { id, bornMs },
-            service: this.route.service,
-            capacity: { cpu: this.options.cpu, memoryMb: 1000, gpu: 0 },
-            labels: [],
-            draining,
-            sequence,
-        });
+        const { agent, process } = this.agents.get(number) ?? {};
+        process?.receive(() =>
+            agent?.handleHeartbeat({
+                life: { id, bornMs },
+                service: this.route.service,
+                capacity: { cpu: this.options.cpu, memoryMb: 1000, gpu: 0 },
+                labels: [],
+                draining,
+                sequence,
+            })
+        );
     }
 
-    /** Delivers the deregistration of the agent's endpoint; returns false when no agent process can receive it. */
+    /**
+     * Delivers the deregistration of the agent's endpoint; returns false when no agent process can acknowledge it at
+     * present.
+     */
     public deliverDeregistration(number: number): boolean {
-        const process = this.agents.get(number);
-        process?.agent.handleDeregistration(this.endpoints[number]?.life.id ?? "");
-        return process !== undefined;
+        const id = this.endpoints[number]?.life.id ?? "";
+        const { agent, process } = this.agents.get(number) ?? {};
+        process?.receive(() => agent?.handleDeregistration(id));
+        return process?.isStalled === false;
     }
 
     /** Starts an agent process. All but the first one of an agent load the stored report of the endpoint. */
@@ -193,20 +192,21 @@
             throw new Error(`agent ${number} runs, or has no endpoint`);
         }
         this.agentStarts += 1;
-        const control = new ProcessEndpointControl(endpoint);
+        const process = this.createProcess();
+        const control = new ProcessEndpointControl(endpoint, process);
         const agent = new LeasedAgent(
             {
                 id: `agent-${number}`,
                 control,
                 routes: new RoutingTable(),
-                dial: address => this.dial(number, Number(address.slice("entry-".length))),
+                dial: address => this.dial(number, process, Number(address.slice("entry-".length))),
                 fence: this.agentStarts <= this.options.agents ? 1 : this.agentStarts * FENCES_PER_PROCESS,
                 target: this.options.linkTarget?.(),
                 reportStore: new EndpointReportStore(this.reports, `agent-${number}`, this.runtime.log),
             },
-            this.runtime,
+            { ...this.runtime, clock: process.clock },
         );
-        this.agents.set(number, { agent, control });
+        this.agents.set(number, { agent, control, process });
         agent.addEntryAddresses(this.entries.map((_, entry) => `entry-${entry}`));
         if (this.agentStarts > this.options.agents) {
             void agent.restoreEndpoint();
@@ -215,13 +215,28 @@
 
     /** Stops an agent process as on SIGTERM: it drains for up to `limitMs` and ends. */
     public async stopAgent(number: number, limitMs: number): Promise<void> {
-        const process = this.agents.get(number);
-        await process?.agent.drain(limitMs);
-        process?.agent.dispose();
-        process?.control.end();
+        const { agent, control, process } = this.agents.get(number) ?? {};
+        await new Promise<unknown>(resolve => process?.receive(() => resolve(agent?.drain(limitMs))));
+        agent?.dispose();
+        control?.end();
+        process?.end();
         this.agents.delete(number);
     }
 
+    /** Makes the process of an entry stand still for `ms`, after `callbacks` more callbacks. */
+    public stallEntry(number: number, ms: number, callbacks: number): void {
+        this.entryProcesses[number]?.stall(ms, callbacks);
+    }
+
+    /** Makes the process of an agent stand still for `ms`, after `callbacks` more callbacks, if it runs. */
+    public stallAgent(number: number, ms: number, callbacks: number): void {
+        this.agents.get(number)?.process.stall(ms, callbacks);
+    }
+
+    public isEntryStalled(number: number): boolean {
+        return this.entryProcesses[number]?.isStalled === true;
+    }
+
     /** Whether an entry process runs. */
     public isEntryUp(number: number): boolean {
         return !this.stoppedEntries.has(number);
@@ -230,17 +245,29 @@
     /** Ends an entry process at once; its jobs are lost. */
     public stopEntry(number: number): void {
         this.stoppedEntries.add(number);
+        this.entryProcesses[number]?.end();
         this.entries[number]?.dispose();
     }
 
     /** Starts the next process of a stopped entry. */
     public startEntry(number: number): void {
-        this.entries[number] = this.createEntry(number);
+        this.createEntry(number);
         this.stoppedEntries.delete(number);
     }
 
-    private createEntry(number: number): LeasedEntry {
-        return new LeasedEntry(new RoutingTable(), `entry-${number}`, this.domainOf(number), this.runtime);
+    private get agentProcesses(): readonly EmulatedProcess[] {
+        return [...this.agents.values()].map(({ process }) => process);
+    }
+
+    private createProcess(): EmulatedProcess {
+        return this.options.createProcess?.(this.clock) ?? new PromptProcess(this.clock);
+    }
+
+    private createEntry(number: number): void {
+        const process = this.createProcess();
+        const runtime = { ...this.runtime, clock: process.clock };
+        this.entryProcesses[number] = process;
+        this.entries[number] = new LeasedEntry(new RoutingTable(), `entry-${number}`, this.domainOf(number), runtime);
     }
 
     private addEndpoint(number: number): void {
@@ -268,19 +295,32 @@
         );
     }
 
-    private dial(agent: number, entry: number): Promise<EmulatedChannel> {
-        if (!this.isEntryUp(entry)) {
-            return Promise.reject(new Error(`entry-${entry} does not run`));
+    private async dial(agent: number, process: EmulatedProcess, entry: number): Promise<EmulatedChannel> {
+        const entryProcess = this.entryProcesses[entry];
+        if (!this.isEntryUp(entry) || entryProcess === undefined) {
+            throw new Error(`entry-${entry} does not run`);
         }
         const [atAgent, atEntry] = EmulatedChannel.pair(
             this.identity(Role.Agent, agent),
             this.identity(Role.Entry, entry),
             this.clock,
             LINK_DELAY_MS,
+            [process, entryProcess],
         );
         this.links.push({ entry, agent, atAgent, atEntry });
-        this.entries[entry]?.attach(atEntry);
-        return Promise.resolve(atAgent);
+        const found = this.entries[entry];
+        const accept = (): Promise<true> =>
+            new Promise(resolve => {
+                entryProcess.receive(() => {
+                    found?.attach(atEntry);
+                    resolve(true);
+                });
+            });
+        if (!await process.call(accept, DIAL_TIMEOUT_MS, false)) {
+            atAgent.close("not accepted in time");
+            throw new Error(`entry-${entry} did not accept the connection in time`);
+        }
+        return atAgent;
     }
 
     private identity(role: Role, number: number): EmulatedChannel["peer"] {
@@ -292,9 +332,3 @@
         return `domain-${number % (this.options.failureDomains ?? 1)}`;
     }
 }
-
-async function settlePromises(): Promise<void> {
-    for (let turn = 0; turn < SETTLE_TURNS; turn += 1) {
-        await Promise.resolve();
-    }
-}
--- a/src/emulator/FAULT_PROFILES.ts
+++ b/src/emulator/FAULT_PROFILES.ts
@@ -1,5 +1,6 @@
 import { CallDelivery } from "./CallDelivery.js";
 import type { FaultProfile } from "./FaultProfile.js";
+import type { PlannedEndProfile } from "./PlannedEndProfile.js";
 
 /** Lost responses, lost and delayed calls, crashes, partitions and closed connections, with short runs. */
 const USUAL: FaultProfile = {
@@ -22,6 +23,7 @@
     stopPeriodMs: 3000,
     clockRate: 1,
     plannedEnds: undefined,
+    stalls: undefined,
 };
 
 /** Connection resets, calls delayed by 20 ms to 3 s, long runs, and clocks that are 2% slow. */
@@ -37,6 +39,34 @@
     clockRate: 0.98,
 };
 
+const LEAVING_ENDS: PlannedEndProfile = {
+    share: 0.06,
+    drain: { leastMs: 0, mostMs: 1500 },
+    lostAckShare: 0.5,
+    acknowledgedEnd: { leastMs: 0, mostMs: 20 },
+    unacknowledgedEnd: { leastMs: 200, mostMs: 3000 },
+    endpointDowntime: { leastMs: 200, mostMs: 2500 },
+    processDowntime: { leastMs: 50, mostMs: 900 },
+    agentsInSeries: 3,
+    agentSpacing: { leastMs: 0, mostMs: 400 },
+    agentGrace: { leastMs: 0, mostMs: 1500 },
+};
+
+/**
+ * Endpoints that drain, deregister and may go on for seconds, agents that stop in series, entries that are killed: all
+ * start again soon, across four failure domains.
+ */
+const LEAVING: FaultProfile = {
+    ...RESETS,
+    entries: 4,
+    agents: 6,
+    failureDomains: 4,
+    submitEveryMs: 60,
+    faultyCallShare: 0.04,
+    resetsConnectionsAtCrash: true,
+    plannedEnds: LEAVING_ENDS,
+};
+
 /** Fault profiles by name. */
 export const FAULT_PROFILES = {
     usual: USUAL,
@@ -50,29 +80,25 @@
     },
     /** Endpoints that execute stops up to 2 s late, while polls go on renewing the lease of the runs. */
     heldStops: { ...RESETS, faultyCallShare: 0.02, stopDelayMs: 2000 },
+    leaving: LEAVING,
     /**
-     * Endpoints that drain, deregister and may go on for seconds, agents that stop in series, entries that are killed:
-     * all start again soon, across four failure domains.
+     * Entries and agents that stand still for up to 3 s, singly and in groups, or that are always late, and callers that
+     * submit again elsewhere meanwhile, beside some of the ends of `leaving`.
      */
-    leaving: {
-        ...RESETS,
-        entries: 4,
-        agents: 6,
-        failureDomains: 4,
-        submitEveryMs: 60,
-        faultyCallShare: 0.04,
-        resetsConnectionsAtCrash: true,
-        plannedEnds: {
-            share: 0.06,
-            drain: { leastMs: 0, mostMs: 1500 },
-            lostAckShare: 0.5,
-            acknowledgedEnd: { leastMs: 0, mostMs: 20 },
-            unacknowledgedEnd: { leastMs: 200, mostMs: 3000 },
-            endpointDowntime: { leastMs: 200, mostMs: 2500 },
-            processDowntime: { leastMs: 50, mostMs: 900 },
-            agentsInSeries: 3,
-            agentSpacing: { leastMs: 0, mostMs: 400 },
-            agentGrace: { leastMs: 0, mostMs: 1500 },
+    stalls: {
+        ...LEAVING,
+        faultyCallShare: 0.01,
+        faultShare: 0.01,
+        longRunShare: 0.4,
+        plannedEnds: { ...LEAVING_ENDS, share: 0.02 },
+        stalls: {
+            share: 0.04,
+            duration: { leastMs: 100, mostMs: 3000 },
+            mostInGroup: 5,
+            mostCallbacksBefore: 8,
+            impatientShare: 0.7,
+            lateShare: 0.2,
+            turn: { leastMs: 5, mostMs: 100 },
         },
     },
 } as const satisfies Record<string, FaultProfile>;
--- a/src/emulator/FaultProfile.ts
+++ b/src/emulator/FaultProfile.ts
@@ -1,5 +1,6 @@
 import type { CallDelivery } from "./CallDelivery.js";
 import type { PlannedEndProfile } from "./PlannedEndProfile.js";
+import type { StallProfile } from "./StallProfile.js";
 import type { TimeRange } from "./TimeRange.js";
 
 /** Kinds and rates of the faults that a simulation injects. */
@@ -37,4 +38,6 @@
     readonly clockRate: number;
     /** Undefined when nothing ends as planned. */
     readonly plannedEnds: PlannedEndProfile | undefined;
+    /** Undefined when processes handle everything at once. */
+    readonly stalls: StallProfile | undefined;
 }
--- a/src/emulator/simulateFaults.test.ts
+++ b/src/emulator/simulateFaults.test.ts
@@ -29,12 +29,19 @@
 /** Regressions: tasks were placed elsewhere at the deregistration of an endpoint that went on for seconds. */
 const LEAVING_SEEDS = [30001, 30002, 30006, 30013];
 
+/**
+ * Regression, seed 30026: an entry that had stalled started a job whose caller had disconnected meanwhile, when entries
+ * did not check the connection before they accept a job. The other seeds guard against the same in other orders of events.
+ */
+const STALLS_SEEDS = [30026, 30001, 30002];
+
 const CASES = [
     ...USUAL_SEEDS.map(seed => ({ profile: "usual", seed }) as const),
     ...RESETS_SEEDS.map(seed => ({ profile: "resets", seed }) as const),
     ...REBIRTHS_SEEDS.map(seed => ({ profile: "rebirths", seed }) as const),
     ...HELD_STOPS_SEEDS.map(seed => ({ profile: "heldStops", seed }) as const),
     ...LEAVING_SEEDS.map(seed => ({ profile: "leaving", seed }) as const),
+    ...STALLS_SEEDS.map(seed => ({ profile: "stalls", seed }) as const),
 ];
 
 describe("simulateFaults", () => {
--- a/src/emulator/simulateFaults.ts
+++ b/src/emulator/simulateFaults.ts
@@ -1,11 +1,13 @@
 import type { Log } from "../common/log/Log.js";
 import { SeededRandom } from "../common/SeededRandom.js";
 import { CallDelivery } from "./CallDelivery.js";
+import { createStallingProcess } from "./createStallingProcess.js";
 import { EmulatedDeployment } from "./EmulatedDeployment.js";
 import { FAULT_PROFILES } from "./FAULT_PROFILES.js";
 import type { FaultProfile } from "./FaultProfile.js";
 import { findOverlappingRuns } from "./findOverlappingRuns.js";
 import { PlannedEnds } from "./PlannedEnds.js";
+import { RandomStalls } from "./RandomStalls.js";
 import type { TimeRange } from "./TimeRange.js";
 
 const DURATION_MS = 6000;
@@ -27,6 +29,9 @@
 /** Longest time from the restart of an endpoint to its first heartbeat. */
 const MAX_HEARTBEAT_DELAY_MS = 500;
 
+/** Longest time that a caller waits for an entry that is stalled. */
+const MAX_PATIENCE_MS = 600;
+
 /** Result of one simulation. */
 interface SimulationResult {
     /** Two overlapping runs of the same task as JSON; undefined when there are none. */
@@ -48,6 +53,14 @@
     open: number;
 }
 
+/** Caller that waits for the response of an entry. */
+interface SimulatedCaller {
+    /** Makes it notice that the entry has ended. */
+    readonly loseEntry: () => void;
+    /** Makes it disconnect, unless it has its response. */
+    readonly giveUp: () => void;
+}
+
 /** Simulates a few seconds of jobs and faults on the virtual clock. A seed always gives the same run. */
 export async function simulateFaults(
     seed: number,
@@ -92,12 +105,19 @@
         resetsConnectionsAtCrash: profile.resetsConnectionsAtCrash,
         clockRate: profile.clockRate,
         ...(log === undefined ? {} : { log }),
+        ...(profile.stalls === undefined ? {} : { createProcess: createStallingProcess(profile.stalls, random) }),
     });
     const jobs: SimulatedJob[] = [];
     let starts = 1;
 
-    /** Functions that tell the callers of each entry that it has ended. */
-    const callersOf = new Map<number, Set<() => void>>();
+    const callersOf = new Map<number, Set<SimulatedCaller>>();
+
+    /** Makes a caller of an entry that stalls for `stallMs` disconnect meanwhile, or wait for its response. */
+    const limitPatience = (caller: SimulatedCaller, stallMs: number): void => {
+        if (chance(profile.stalls?.impatientShare ?? 0)) {
+            deployment.clock.schedule(random.next() * stallMs, () => caller.giveUp());
+        }
+    };
 
     /** Submits a job to the entry, or to the next one that runs. */
     const submit = (job: SimulatedJob, wanted: number): void => {
@@ -114,11 +134,12 @@
         job.open += 1;
         let answered = false;
         let lostEntry = false;
+        let disconnected = false;
         const recordVerdict = (verdict: string): void => {
             answered = true;
             job.open -= 1;
             job.verdicts.push(verdict);
-            callers.delete(loseEntry);
+            callers.delete(simulatedCaller);
         };
         const submitAgain = (): void => {
             deployment.clock.schedule(RESUBMIT_MS, () => submit(job, pick(profile.entries)));
@@ -126,17 +147,31 @@
         const loseEntry = (): void => {
             lostEntry = true;
             recordVerdict("entry lost");
-            submitAgain();
+            if (!disconnected) {
+                submitAgain();
+            }
         };
-        callers.add(loseEntry);
+        /** Closes the caller's connection before the response. */
+        const disconnect = (): void => {
+            if (!lostEntry && !disconnected) {
+                disconnected = true;
+                caller.abort();
+                submitAgain();
+            }
+        };
+        const giveUp = (): void => {
+            if (!answered) {
+                disconnect();
+            }
+        };
+        const simulatedCaller = { loseEntry, giveUp };
+        callers.add(simulatedCaller);
         const disconnects = chance(0.1);
         if (disconnects) {
-            deployment.clock.schedule(random.next() * 300, () => {
-                if (!lostEntry) {
-                    caller.abort();
-                    submitAgain();
-                }
-            });
+            deployment.clock.schedule(random.next() * 300, disconnect);
+        }
+        if (deployment.isEntryStalled(entry)) {
+            limitPatience(simulatedCaller, MAX_PATIENCE_MS);
         }
         void deployment.submit(entry, job.id, 1 + pick(4), 200, caller.signal, profile.budgetMs).then(
             outcome => {
@@ -144,7 +179,7 @@
                     return;
                 }
                 recordVerdict(outcome.kind === "refused" ? outcome.verdict : outcome.kind);
-                if (!disconnects && outcome.kind === "refused" && outcome.verdict !== "not_run") {
+                if (!disconnects && !disconnected && outcome.kind === "refused" && outcome.verdict !== "not_run") {
                     submitAgain();
                 }
             },
@@ -155,7 +190,13 @@
         profile.plannedEnds,
         random,
         () => starts += 1,
-        entry => [...callersOf.get(entry) ?? []].forEach(loseEntry => loseEntry()),
+        entry => [...callersOf.get(entry) ?? []].forEach(caller => caller.loseEntry()),
+    );
+    const stalls = profile.stalls && new RandomStalls(
+        deployment,
+        profile.stalls,
+        random,
+        (entry, ms) => [...callersOf.get(entry) ?? []].forEach(caller => limitPatience(caller, ms)),
     );
     /** Partitions a link, closes a connection, or crashes an endpoint and restarts it later. */
     const injectFault = (): void => {
@@ -196,6 +237,9 @@
         if (plannedEnds !== undefined && chance(profile.plannedEnds?.share ?? 0)) {
             plannedEnds.begin();
         }
+        if (stalls !== undefined && chance(profile.stalls?.share ?? 0)) {
+            stalls.begin();
+        }
         await deployment.advance(profile.submitEveryMs);
     }
     await deployment.advance(RESUBMIT_PERIOD_MS + profile.budgetMs + ANSWER_GRACE_MS);
