Test the conditions that keep or return a task at their own place

A review took three conditions out one at a time and the tests of their folder passed. Two of them are no conditions any more: - `isRegistered` in RunCalls.startNext: without it the new case "guards against a task that is started again at an endpoint that has deregistered" fails with 4 starts in place of 1. - `isLost` in RunCalls.stop went with finishUnlisted. With `finish` in its place the cases "no_room" fail, with a run for 556 ms and 239 ms after the return of its task. - `lateStarts.has` in EndpointRuns.endAllRuns is removed: a waiting task with an unanswered start is kept by finishUnlisted there too, and its lease has no limit yet that a replacement would have to lift. With `finish` in its place the case "no_room" without an abort fails, with a run for 353 ms.

The cases of returnedTasks.test.ts for rejected starts were written before the fence was raised with each unanswered start. Since then a poll ruled the late start out and they passed on the faulty code as well; the polls of the next incarnation are lost in them now, and four fail again when the answers return the task at once (556 ms).

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -288,7 +288,7 @@
         }
         for (const run of this.table.all) {
             const began = run.phase !== RunPhase.Waiting;
-            if (replaced && (began || this.lateStarts.has(run.task))) {
+            if (replaced && began) {
                 // A limit on the clock of the incarnation that has ended says nothing on that of the next one.
                 run.leaseLimitMs = Number.POSITIVE_INFINITY;
                 this.calls.stopUncertain(run, reason);
--- a/src/agent/leased/returnedTasks.test.ts
+++ b/src/agent/leased/returnedTasks.test.ts
@@ -32,15 +32,21 @@
  */
 async function simulateRejection(rejection: StartOutcome, aborts: boolean): Promise<ReturnedTask> {
     let starts = 0;
+    let pollsLost = false;
     const scenario = new EmulatedRuns({
         runMs: SETTLE_MS,
         deliveryDelayMs: START_DELAY_MS,
         deliveryOf: call => {
             starts += call === "start" ? 1 : 0;
-            return call === "start" && starts === 1 ? CallDelivery.Delayed : CallDelivery.Answered;
+            if (call === "start" && starts === 1) {
+                return CallDelivery.Delayed;
+            }
+            // The fence of a poll would rule the first start out in the next incarnation.
+            return call === "look" && pollsLost ? CallDelivery.Lost : CallDelivery.Answered;
         },
         rejectionOf: run => {
             if (run === 2) {
+                pollsLost = true;
                 scenario.endpoint.restart(2);
             }
             return run === 1 ? undefined : rejection;
@@ -51,6 +57,10 @@
     let runsAfterReturn = 0;
     for (let nowMs = 0; nowMs < SETTLE_MS; nowMs += 1) {
         await scenario.advance(1);
+        if (nowMs === START_DELAY_MS) {
+            pollsLost = false;
+            scenario.announce();
+        }
         if (aborts && nowMs === START_DELAY_MS - 10) {
             scenario.runs.abort("entry", [scenario.task], "cancelled");
         }
@@ -67,10 +77,12 @@
         { rejection: StartOutcome.Late, aborts: false },
         { rejection: StartOutcome.OtherIncarnation, aborts: false },
         { rejection: StartOutcome.NoRoom, aborts: true },
+        // The task waits until the next incarnation is found.
+        { rejection: StartOutcome.NoRoom, aborts: false },
     ];
     for (const { rejection, aborts } of REJECTIONS) {
         // The second start was not executed, but the first one still is, in the incarnation that has answered.
-        it(`guards against a run of a task returned although an earlier start was not answered, answer "${rejection}"`, async () => {
+        it(`guards against a run of a task returned although an earlier start was not answered, answer "${rejection}"${aborts ? ", aborted" : ""}`, async () => {
             const { scenario, runsAfterReturn } = await simulateRejection(rejection, aborts);
             assert.equal(runsAfterReturn, 0);
             assert.equal(scenario.completions.length, 1);
@@ -198,3 +210,24 @@
         assert.equal(scenario.session.report?.life.bornMs, 2);
     });
 });
+
+describe("an endpoint that deregisters while a start is not answered yet", () => {
+    // It takes no new runs, and may end at any time.
+    it("guards against a task that is started again at an endpoint that has deregistered", async () => {
+        let starts = 0;
+        const scenario = new EmulatedRuns({
+            deliveryOf: call => {
+                starts += call === "start" ? 1 : 0;
+                return call === "start" ? CallDelivery.Lost : CallDelivery.Answered;
+            },
+        });
+        await scenario.warmUp();
+        scenario.order();
+        await scenario.advance(MAX_RETURN_MS);
+        scenario.session.handleDeregistration();
+        await scenario.advance(SETTLE_MS);
+        scenario.dispose();
+        assert.equal(starts, 1);
+        assert.deepEqual(scenario.completions.map(({ result }) => result), [RunResult.NotStarted]);
+    });
+});
--- a/src/emulator/EmulatedRuns.ts
+++ b/src/emulator/EmulatedRuns.ts
@@ -73,8 +73,8 @@
         return this.endpoint.records.filter(({ to }) => to === undefined).length;
     }
 
-    /** Announces the endpoint to the agent and waits until it can be given work. */
-    public async warmUp(): Promise<void> {
+    /** Delivers the first heartbeat of the endpoint's current incarnation. */
+    public announce(): void {
         this.session.handleHeartbeat({
             life: this.endpoint.life,
             service: "service",
@@ -83,6 +83,11 @@
             draining: false,
             sequence: 1,
         });
+    }
+
+    /** Announces the endpoint to the agent and waits until it can be given work. */
+    public async warmUp(): Promise<void> {
+        this.announce();
         await this.advance(WARMUP_MS);
     }
 
