Name what ended the submission to a paused issuer

issuerPause.test.ts failed once with "fetch failed" as an unhandled rejection. The report named neither the cause nor the state of the issuer, and the fault is still not traced.

The rejection was unhandled because the test awaits the submission last. An unhandled rejection ends a test at once, so the 6.8 s are the time of the rejection, and a start takes 5 s or more beside load: it failed when the job was submitted or shortly after, perhaps before SIGSTOP. By reading were ruled out: the entry's receive limits and its closing of idle connections, which need 10 s or a drain; the keep-alive times of server (5 s) and client (4 s), since the connection is used every 20 ms until then; the drain of unread bodies in @hono/node-server, since bodies are read before an answer.

Change: such a submission is awaited together with the first start and again at the end. If it fails, the test fails as before, but names the cause, the time, the exit of the process and its last log lines. No assertion changed.

--- a/src/test/processes/Deployment.ts
+++ b/src/test/processes/Deployment.ts
@@ -2,7 +2,9 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import { CliEvent } from "../../cli/CliEvent.js";
+import type { JobAnswer } from "../../common/job/JobAnswer.js";
 import { rendezvousRank } from "../../common/rendezvousRank.js";
 import { TicketCodec } from "../../common/ticket/TicketCodec.js";
 import { ChildRole } from "./ChildRole.js";
@@ -16,6 +18,12 @@
 const SECRET = "secret-of-the-process-tests";
 const TOKEN = "token-of-the-process-tests";
 
+/** Number of an entry's last log lines in the message about a failed submission. */
+const LINES_SHOWN = 5;
+
+/** Time until the exit of a process is known, after its connections have ended. */
+const EXIT_REPORT_MS = 200;
+
 /** Entry process and an HTTP client for it. */
 interface EntryProcess {
     readonly role: ChildRole;
@@ -126,6 +134,24 @@
         return entry.caller.putSection(TEAM, revision, { team: TEAM, services: { [SERVICE]: {} } });
     }
 
+    /**
+     * Submits a job whose answer the test awaits later. If the connection ends before the answer, awaiting it fails with
+     * the cause and with what became of the entry's process.
+     */
+    public submit(entry: EntryProcess, ticket: string, runsMs: readonly number[]): Promise<JobAnswer> {
+        const submittedAt = performance.now();
+        const answer = entry.caller.answer(ticket, runsMs).catch(async (error: unknown) => {
+            const afterMs = Math.round(performance.now() - submittedAt);
+            await sleep(EXIT_REPORT_MS);
+            const { name, exit, lines } = entry.role;
+            const seen = JSON.stringify({ exit, lines: lines.slice(-LINES_SHOWN) });
+            throw new Error(`submission to ${name} failed after ${afterMs} ms: ${describe(error)}; ${seen}`);
+        });
+        // Without a handler a rejection would end the test at once, before it shows how the other entries answer.
+        answer.catch(() => undefined);
+        return answer;
+    }
+
     /** Requests `count` tickets in one call to an entry. */
     public async tickets(count: number, entry = this.entries[0]!): Promise<readonly string[]> {
         return await entry.caller.tickets(count);
@@ -210,3 +236,9 @@
         return role;
     }
 }
+
+/** Message of an error and of its cause, which names what ended a connection. */
+function describe(error: unknown): string {
+    const { message, cause } = error as Error;
+    return cause instanceof Error ? `${message}, ${cause.message}` : message;
+}
--- a/src/test/processes/issuerPause.test.ts
+++ b/src/test/processes/issuerPause.test.ts
@@ -21,8 +21,8 @@
                 deployment = await Deployment.start(2, 2);
                 const [ticket] = await deployment.tickets(1);
                 const { issuer, other } = deployment.issuerAndOther(ticket!);
-                const own = issuer.caller.answer(ticket!, RUNS_MS);
-                await deployment.untilStarted(1);
+                const own = deployment.submit(issuer, ticket!, RUNS_MS);
+                await Promise.race([deployment.untilStarted(1), own]);
                 issuer.role.kill("SIGSTOP");
                 const pause = sleep(pauseMs);
                 const settled = await other.caller.answer(ticket!, RUNS_MS);
@@ -41,8 +41,8 @@
             deployment = await Deployment.start(2, 2, { recordBytes: 1024 });
             const [ticket] = await deployment.tickets(1);
             const { issuer, other } = deployment.issuerAndOther(ticket!);
-            const own = issuer.caller.answer(ticket!, RUNS_MS);
-            await deployment.untilStarted(1);
+            const own = deployment.submit(issuer, ticket!, RUNS_MS);
+            await Promise.race([deployment.untilStarted(1), own]);
             issuer.role.kill("SIGSTOP");
             await checkAnswer(deployment, await other.caller.answer(ticket!, RUNS_MS), RUNS_MS.length);
             await deployment.untilConverged([issuer]);
