Let the fake agent of the HTTP tests answer heartbeats

httpEdge.test.ts failed beside load with "undefined is not iterable" where it takes a ticket for a job: four of its five tests at a load average of 28.

Cause: the test's own. FakeAgent sent nothing between two jobs, so an entry lost it 3 s after its last message, as it must, and refused tickets. A property of 300 requests takes longer than that on a busy machine. The entry is ruled out: it refused the tickets as an entry without agents should.

Change: an echoing fake agent answers each heartbeat. No assertion and no time limit changed.

--- a/src/test/FakeAgent.ts
+++ b/src/test/FakeAgent.ts
@@ -80,12 +80,15 @@
         return { task, attempt, verdict: Verdict.Ran, ok: true, output, runMs: 1 };
     }
 
-    /** From now on reports success for every start, with its payload as the output. */
+    /** From now on reports success for every start, with its payload as the output, and answers heartbeats. */
     public echo(): void {
         this.onMessage = message => {
             if (message.kind === "start") {
                 this.succeed(message, message.payload);
             }
+            else if (message.kind === "heartbeat" || message.kind === "alive") {
+                this.send({ kind: "alive" });
+            }
         };
     }
 
