Stop the runs of an entry whatever has ended its lease

An agent keeps a run alive for up to 2 s after its entry lease has ended, while the caller submits the job again elsewhere after 1300 ms.

Cause: the agent kept the lease as a time and as a flag "in force". The flag was cleared in three places, and only one of them stopped the entry's runs: - a renewal or an order that arrived after the time that it names cleared it, and the check for expired leases then passed over this entry, until the connection was closed after 2 s of silence; - so did the loss of the endpoint, although the same incarnation may answer again and starts in flight go on.

Change: the lease is one time, on the clock of the current incarnation, and is never shortened. Each check stops the runs that no lease covers, whatever has ended it, and renewals are checked when they arrive. The end of an incarnation voids it, a loss without another incarnation does not.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -130,6 +130,15 @@
         return this.table.all.some(run => run.owner === owner);
     }
 
+    /**
+     * Whether there are runs of `owner` that do not limit the endpoint lease yet. Those of an incarnation that has ended
+     * limit that of the next one only if a list shows them there.
+     */
+    public hasUnlimited(owner: string): boolean {
+        const unlimited = this.table.all.filter(run => run.leaseLimitMs === Number.POSITIVE_INFINITY);
+        return unlimited.some(run => run.owner === owner && !run.endpointLost);
+    }
+
     /** Accepts the tasks of an order of `owner`. */
     public acceptOrder(owner: string, order: MessageOf<"run">): void {
         for (const { name, run } of order.tasks) {
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -18,8 +18,8 @@
  * clock until which the entry's runs may live here; the entry renews it.
  */
 export class EntryLink implements Disposable {
-    private leaseUntilMs = 0;
-    private leaseInForce = false;
+    /** End of the entry lease on the clock of the current incarnation; undefined without one on that clock. */
+    private leaseUntilMs: number | undefined;
     private lastOrderNumber = 0;
     private lastMessageAt: number;
     private agents: number | undefined;
@@ -35,10 +35,11 @@
         private readonly log: Log,
     ) {
         this.lastMessageAt = clock.now();
-        // An entry lease is a time on the clock of the incarnation that has ended.
-        this.listeners.add(session.onLost(() => {
-            this.leaseUntilMs = 0;
-            this.leaseInForce = false;
+        this.listeners.add(session.onLost(({ replaced }) => {
+            if (replaced) {
+                // An entry lease is a time on the clock of the incarnation that has ended.
+                this.leaseUntilMs = undefined;
+            }
         }));
         this.listeners.add(session.onRenewal(() => this.checkLease()));
     }
@@ -47,8 +48,10 @@
         return this.lastOrderNumber;
     }
 
+    /** Whether the entry lease is in force. It is not while the endpoint's clock is unknown. */
     public get hasLease(): boolean {
-        return this.leaseInForce;
+        const { clockMs } = this.session;
+        return clockMs !== undefined && this.leaseUntilMs !== undefined && clockMs < this.leaseUntilMs;
     }
 
     /** Number of agents of this kind that are attached to the entry; undefined until it has reported it. */
@@ -66,14 +69,15 @@
         this.agents = agents;
     }
 
-    /** Renews the entry lease to `untilMs` on the clock of an incarnation of the endpoint; ignored for another one. */
+    /**
+     * Renews the entry lease to `untilMs` on the clock of an incarnation of the endpoint; ignored for another one. A
+     * renewal that arrives after the time that it names stops the runs of the entry.
+     */
     public renewLease(untilMs: number, incarnation: string | undefined): void {
-        if (!this.isCurrent(incarnation)) {
-            return;
+        if (this.isCurrent(incarnation)) {
+            this.leaseUntilMs = Math.max(this.leaseUntilMs ?? 0, untilMs);
+            this.checkLease();
         }
-        this.leaseUntilMs = untilMs;
-        const clockMs = this.session.clockMs;
-        this.leaseInForce = clockMs !== undefined && clockMs < this.leaseUntilMs;
     }
 
     /**
@@ -88,7 +92,7 @@
             job: message.job,
             tasks: names,
             owner: this.owner,
-            tenured: this.leaseInForce,
+            tenured: this.hasLease,
             untilMs: this.leaseUntilMs,
             clockMs: this.session.clockMs,
         });
@@ -98,7 +102,7 @@
             return;
         }
         this.runs.acceptOrder(this.owner, message);
-        if (!this.leaseInForce) {
+        if (!this.hasLease) {
             this.runs.abort(this.owner, names, "no entry lease in force");
         }
     }
@@ -121,7 +125,6 @@
     public dispose(): void {
         this.listeners.dispose();
         this.runs.abortOwner(this.owner, "connection to the entry lost", this.wantedUntilMs);
-        this.leaseInForce = false;
     }
 
     /**
@@ -129,8 +132,8 @@
      * the expiry of an entry lease late, so this is the end of that lease if it has passed.
      */
     private get wantedUntilMs(): number | undefined {
-        const clockMs = this.session.clockMs;
-        return clockMs !== undefined && this.leaseInForce ? Math.min(clockMs, this.leaseUntilMs) : clockMs;
+        const { clockMs } = this.session;
+        return clockMs === undefined ? undefined : Math.min(clockMs, this.leaseUntilMs ?? clockMs);
     }
 
     /** Whether an entry means the current incarnation; older entries do not name any. */
@@ -138,16 +141,10 @@
         return incarnation === undefined || incarnation === this.session.incarnation;
     }
 
+    /** Stops the runs that the entry lease no longer covers, whatever has ended it. */
     private checkLease(): void {
-        const clockMs = this.session.clockMs;
-        if (this.leaseInForce && (clockMs === undefined || clockMs >= this.leaseUntilMs)) {
-            this.abortExpiredRuns(clockMs);
-            this.leaseInForce = false;
-        }
-    }
-
-    private abortExpiredRuns(clockMs: number | undefined): void {
-        if (this.runs.has(this.owner)) {
+        if (!this.hasLease && this.runs.hasUnlimited(this.owner)) {
+            const { clockMs } = this.session;
             this.log.write(LeaseEvent.EntryLeaseExpired, { owner: this.owner, untilMs: this.leaseUntilMs, clockMs });
             this.runs.abortOwner(this.owner, "entry lease expired", this.wantedUntilMs);
         }
