--- a/src/agent/leased/RunCalls.test.ts
+++ b/src/agent/leased/RunCalls.test.ts
@@ -52,7 +52,8 @@
 }
 
 describe("RunCalls", () => {
-    describe("an unanswered start whose polls are reset", () => {
+    // Case 2 of docs/incidents/2026-12-04-two-owners.md: two runs of a task at once at one endpoint, after a lost answer.
+    describe("an unanswered start whose polls are reset (issue 25, case 2)", () => {
         // The poll after the stop fails at once, while the run that the stop ends is there for 50 ms more.
         it("guards against a second run under the next run number while the first one is being stopped", async () => {
             let starts = 0;
