Split EndpointRuns by responsibility

It keeps orders, run lists, losses and the regular check. WaitingRuns starts and returns waiting runs, RunCompletions ends and reports runs, UnlistedEnds decides on runs that no list shows to be over, UnwantedRuns bounds the endpoint lease, and EndpointSlowdown joins both slowdown estimates.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -2,26 +2,26 @@
 import { CoalescingTimer } from "../../common/CoalescingTimer.js";
 import type { Disposable } from "../../common/Disposable.js";
 import { Emitter } from "../../common/Emitter.js";
-import { addResources } from "../../common/leased/addResources.js";
-import { fits } from "../../common/leased/fits.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { Resources } from "../../common/leased/Resources.js";
-import type { RunCompletion } from "../../common/leased/RunCompletion.js";
 import { RunResult } from "../../common/leased/RunResult.js";
 import type { Log } from "../../common/log/Log.js";
 import type { MessageOf } from "../../common/wire/MessageOf.js";
+import { createOrderedRun } from "./createOrderedRun.js";
 import type { EndpointSession } from "./EndpointSession.js";
-import { EndpointStallDetector } from "./EndpointStallDetector.js";
+import { EndpointSlowdown } from "./EndpointSlowdown.js";
 import { LateStarts } from "./LateStarts.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
-import { ReportedEnds } from "./ReportedEnds.js";
 import { RunCalls } from "./RunCalls.js";
+import { RunCompletions } from "./RunCompletions.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
 import { RunReconciler } from "./RunReconciler.js";
 import { RunTable } from "./RunTable.js";
-import { SlowdownEstimate } from "./SlowdownEstimate.js";
+import { UnlistedEnds } from "./UnlistedEnds.js";
+import { UnwantedRuns } from "./UnwantedRuns.js";
+import { WaitingRuns } from "./WaitingRuns.js";
 
 /**
  * Tasks that may wait here for free capacity. Several entries may assign the same free capacity at once; tasks beyond
@@ -35,44 +35,22 @@
 /** Interval of the checks for stalled runs while none waits or is being stopped. */
 const STALL_CHECK_MS = 50;
 
-/**
- * Longest time that a task stays at the agent of a lost endpoint because a start of it may still be executed: an entry
- * that loses the agent itself places the task again after the same time.
- */
-const MAX_LOST_MS = LEASE_TIMES.LOST_RUN_EXPIRY_MS;
-
-/** Finished run and the connection on which it is reported. */
-interface OwnedCompletion {
-    readonly owner: string;
-    readonly completion: RunCompletion;
-    /** Whether other tasks of the same order have not ended yet. */
-    readonly orderContinues: boolean;
-}
-
-/** Owns the runs at one endpoint: accepts orders, starts what fits, follows the run list and reports finished runs. */
+/** Owns the runs at one endpoint: accepts and aborts orders, follows the run list, and stops runs that are overdue. */
 export class EndpointRuns implements Disposable {
-    private readonly completions = new Emitter<OwnedCompletion>();
-    private readonly usageChanges = new Emitter<undefined>();
     private readonly table = new RunTable();
-    private readonly slowdown = new SlowdownEstimate();
+    private readonly usageChanges = new Emitter<undefined>();
+    private readonly slowdown: EndpointSlowdown;
     private readonly lateStarts: LateStarts;
+    private readonly completions: RunCompletions;
+    private readonly unlistedEnds: UnlistedEnds;
     private readonly calls: RunCalls;
+    private readonly waiting: WaitingRuns;
     private readonly reconciler: RunReconciler;
-    private readonly stalls: EndpointStallDetector;
-    private readonly reportedEnds: ReportedEnds;
-    /**
-     * Whether starts wait for the next run list, because the endpoint had less free capacity than the agent calculated.
-     */
-    private startsBlocked = false;
-    /**
-     * Time on the endpoint's clock since when run lists show orphaned runs, which no attached entry has ordered, or runs
-     * whose endpoint was lost; infinite while they show none.
-     */
-    private unwantedSinceMs = Number.POSITIVE_INFINITY;
+    private readonly unwanted: UnwantedRuns;
     private readonly checkTimer: CoalescingTimer;
 
     /** Fires with each run that has ended or will never begin. */
-    public readonly onCompletion = this.completions.event;
+    public readonly onCompletion: RunCompletions["onCompletion"];
     /** Fires when the used resources have changed. */
     public readonly onUsageChange = this.usageChanges.event;
 
@@ -81,24 +59,31 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
-        this.stalls = new EndpointStallDetector(clock);
-        this.reportedEnds = new ReportedEnds(clock);
         this.checkTimer = new CoalescingTimer(clock, () => {
             this.check();
         });
+        this.slowdown = new EndpointSlowdown(clock);
         this.lateStarts = new LateStarts(clock);
+        this.completions = new RunCompletions(this.table, this.slowdown, clock, log);
+        this.onCompletion = this.completions.onCompletion;
+        this.completions.onRemoved(() => this.usageChanges.fire(undefined));
+        const stopUncertain = (run: OrderedRun, reason: string) => this.calls.stopUncertain(run, reason);
+        this.unlistedEnds = new UnlistedEnds(session, this.lateStarts, this.completions, stopUncertain, clock, log);
         const owner = {
-            finish: (run: OrderedRun, result: RunResult, reason: string) => this.finish(run, result, reason),
+            finish: (run: OrderedRun, result: RunResult, reason: string) =>
+                this.completions.finish(run, result, reason),
             finishUnlisted: (run: OrderedRun, result: RunResult, reason: string) =>
-                this.finishUnlisted(run, result, reason),
-            blockStarts: () => this.startsBlocked = true,
+                this.unlistedEnds.finish(run, result, reason),
+            blockStarts: () => this.waiting.block(),
             watchStops: () => this.checkTimer.fireWithin(CHECK_INTERVAL_MS),
         };
         this.calls = new RunCalls(session, this.table, this.lateStarts, owner, clock, log);
+        this.waiting = new WaitingRuns(session, this.table, this.calls, this.unlistedEnds);
         this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
-        session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.unwantedSinceMs));
+        this.unwanted = new UnwantedRuns(session, this.table);
+        session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.unwanted.sinceMs));
         session.setHasRuns(() => this.table.size > 0 || this.lateStarts.hasAny);
-        session.onDeregistered(() => this.startWaiting());
+        session.onDeregistered(() => this.waiting.start());
         session.onList(({ list, sentAt }) => {
             this.handleList(list, sentAt);
         });
@@ -122,7 +107,7 @@
 
     /** Current ratio of observed to declared run time. */
     public get slowdownFactor(): number {
-        return Math.max(this.slowdown.value, this.stalls.slowdownOf(this.table.all));
+        return this.slowdown.factorOf(this.table.all);
     }
 
     /** Whether there are runs of `owner`. */
@@ -135,8 +120,8 @@
         for (const { name, run } of order.tasks) {
             this.addTask(owner, order, name, run);
         }
-        this.startWaiting();
-        this.returnWaiting(MAX_WAITING, "no room");
+        this.waiting.start();
+        this.waiting.returnExcess(MAX_WAITING, "no room");
         this.checkTimer.fireWithin(CHECK_INTERVAL_MS);
         this.usageChanges.fire(undefined);
     }
@@ -175,27 +160,7 @@
             this.refuseDuplicate(known, owner);
             return;
         }
-        this.table.add({
-            task,
-            owner,
-            order: order.order,
-            spec: order.spec,
-            need: order.need,
-            estimateMs: order.estimateMs,
-            startBeforeMs: order.startBeforeMs,
-            orderedAt: this.clock.now(),
-            run,
-            phase: RunPhase.Waiting,
-            starts: 0,
-            startedAt: undefined,
-            stopReason: undefined,
-            leaseLimitMs: Number.POSITIVE_INFINITY,
-            stopDueAt: 0,
-            restartAfterStop: false,
-            endpointLost: false,
-            returnLostAt: Number.POSITIVE_INFINITY,
-            refusedOwners: new Set(),
-        });
+        this.table.add(createOrderedRun(owner, order, task, run, this.clock.now()));
     }
 
     /**
@@ -210,68 +175,13 @@
         }
     }
 
-    /**
-     * Starts waiting orders, first come first served, as long as they fit. They are returned while there is no endpoint
-     * that takes runs.
-     */
-    private startWaiting(): void {
-        const report = this.session.report;
-        if (!this.session.isRegistered) {
-            this.returnWaiting(0, "no endpoint registered");
-            return;
-        }
-        if (report === undefined || this.startsBlocked || this.session.isLost || this.session.clockMs === undefined) {
-            return;
-        }
-        let free = addResources(report.capacity, this.table.usedByStarted, -1);
-        for (const run of this.table.all) {
-            if (run.phase !== RunPhase.Waiting) {
-                continue;
-            }
-            if (!fits(run.need, free)) {
-                return;
-            }
-            if (!this.calls.isInStartWindow(run)) {
-                continue;
-            }
-            free = addResources(free, run.need, -1);
-            void this.calls.start(run);
-        }
-    }
-
-    /** Returns all but the first `kept` of the waiting tasks to their entries. */
-    private returnWaiting(kept: number, reason: string): void {
-        const waiting = this.table.all.filter(run => run.phase === RunPhase.Waiting);
-        for (const run of waiting.slice(kept)) {
-            this.finishUnlisted(run, RunResult.NotStarted, reason);
-        }
-    }
-
     private handleList(list: RunList, sentAt: number): void {
-        this.startsBlocked = false;
+        this.waiting.unblock();
         this.lateStarts.applyList(list);
-        this.checkReportedEnds(list, sentAt);
+        this.completions.checkReports(list, sentAt);
         this.reconciler.apply(list, sentAt);
-        const hasUnwanted = list.running.some(({ task }) => this.table.get(task)?.endpointLost ?? true);
-        this.unwantedSinceMs = hasUnwanted
-            ? Math.min(this.unwantedSinceMs, this.session.clockMs ?? 0)
-            : Number.POSITIVE_INFINITY;
-        this.startWaiting();
-    }
-
-    /** Logs the reports of ended runs that a list requested at `sentAt` contradicts. Runs of later orders do not. */
-    private checkReportedEnds(list: RunList, sentAt: number): void {
-        for (const { task, run } of list.running) {
-            if (this.table.get(task)?.run === run) {
-                continue;
-            }
-            const end = this.reportedEnds.takeContradicted(task, sentAt);
-            if (end !== undefined) {
-                const { completion, reportedAt } = end;
-                const ageMs = Math.round(this.clock.now() - reportedAt);
-                this.log.write(LeaseEvent.ReportContradicted, { ...completion, ageMs, listed: run });
-            }
-        }
+        this.unwanted.applyList(list);
+        this.waiting.start();
     }
 
     /**
@@ -280,9 +190,8 @@
      */
     private endAllRuns(reason: string, replaced: boolean): void {
         this.slowdown.reset();
-        this.stalls.reset();
         this.calls.reset();
-        this.unwantedSinceMs = Number.POSITIVE_INFINITY;
+        this.unwanted.reset();
         if (replaced) {
             this.lateStarts.handleReplacement();
         }
@@ -297,68 +206,14 @@
             if (run.phase === RunPhase.Starting) {
                 continue;
             }
-            this.finishUnlisted(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
-        }
-    }
-
-    /**
-     * Finishes a run that no list of the current incarnation shows to be over. A task that has an unanswered start stays
-     * here until a stop and a list rule the start out in the incarnation that answers them: an answer may be of the
-     * next one, which executes the start as well. Where the endpoint is lost it stays for `MAX_LOST_MS` at most.
-     */
-    private finishUnlisted(run: OrderedRun, result: RunResult, reason: string): void {
-        if (!this.lateStarts.has(run.task) || this.session.report === undefined) {
-            this.finish(run, result, reason);
-            return;
-        }
-        const now = this.clock.now();
-        run.returnLostAt = Math.min(run.returnLostAt, now + MAX_LOST_MS);
-        const waitsMs = Math.round(run.returnLostAt - now);
-        if (waitsMs <= 0) {
-            this.log.write(LeaseEvent.ReturnedUnresolved, { task: run.task, run: run.run, reason });
-            this.finish(run, result, reason);
-            return;
-        }
-        this.log.write(LeaseEvent.ReturnDelayed, { task: run.task, run: run.run, reason, waitsMs });
-        this.calls.stopUncertain(run, reason);
-    }
-
-    private finish(run: OrderedRun, result: RunResult, reason: string): void {
-        this.table.remove(run);
-        const ranMs = Math.round(this.clock.now() - (run.startedAt ?? this.clock.now()));
-        if (result === RunResult.Done) {
-            this.stalls.observeDone(run, this.slowdown.value);
-            this.slowdown.observe(ranMs, run.estimateMs);
-        }
-        const { task, run: number, refusedOwners } = run;
-        const superseded = refusedOwners.size > 0 && result !== RunResult.Done;
-        const reported = superseded ? RunResult.Superseded : result;
-        const completion = { task, run: number, result: reported, ranMs, reason: run.stopReason ?? reason };
-        const waitedMs = Math.round((run.startedAt ?? this.clock.now()) - run.orderedAt);
-        this.log.write(LeaseEvent.RunEnded, { ...completion, waitedMs, owner: run.owner, starts: run.starts });
-        const orderContinues = this.table.all.some(other => other.owner === run.owner && other.order === run.order);
-        this.reportedEnds.add(completion);
-        this.completions.fire({ owner: run.owner, completion, orderContinues });
-        this.returnRefused(run);
-        this.usageChanges.fire(undefined);
-    }
-
-    /** Returns the orders that were refused because of this run. */
-    private returnRefused({ task, run, refusedOwners }: OrderedRun): void {
-        const reason = "a run of another entry was stopped";
-        for (const owner of refusedOwners) {
-            this.completions.fire({
-                owner,
-                completion: { task, run, result: RunResult.NotStarted, ranMs: 0, reason },
-                orderContinues: false,
-            });
+            this.unlistedEnds.finish(run, began ? RunResult.Stopped : RunResult.NotStarted, reason);
         }
     }
 
     /** Returns orders whose start window has passed, stops stalled runs, and repeats stops. */
     private check(): void {
         const wanted = this.table.all.filter(run => run.phase === RunPhase.Running);
-        for (const run of this.stalls.findOverdue(wanted, this.slowdown.value)) {
+        for (const run of this.slowdown.findOverdue(wanted)) {
             this.calls.stop(run, "endpoint stalled");
         }
         for (const run of this.table.all) {
