Split RunCalls by responsibility

It keeps starts and phases. RunResolver stops runs and determines by lists what became of unconfirmed ones, StopCalls sends single stops, and OrphanedRunStops stops runs that no attached entry has ordered. The start window is a function of its own, and RunFinisher is one interface in place of two.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -10,15 +10,19 @@
 import { createOrderedRun } from "./createOrderedRun.js";
 import type { EndpointSession } from "./EndpointSession.js";
 import { EndpointSlowdown } from "./EndpointSlowdown.js";
+import { isInStartWindow } from "./isInStartWindow.js";
 import { LateStarts } from "./LateStarts.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
+import { OrphanedRunStops } from "./OrphanedRunStops.js";
 import { RunCalls } from "./RunCalls.js";
 import { RunCompletions } from "./RunCompletions.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
 import { RunReconciler } from "./RunReconciler.js";
+import { RunResolver } from "./RunResolver.js";
 import { RunTable } from "./RunTable.js";
+import { StopCalls } from "./StopCalls.js";
 import { UnlistedEnds } from "./UnlistedEnds.js";
 import { UnwantedRuns } from "./UnwantedRuns.js";
 import { WaitingRuns } from "./WaitingRuns.js";
@@ -43,6 +47,8 @@
     private readonly lateStarts: LateStarts;
     private readonly completions: RunCompletions;
     private readonly unlistedEnds: UnlistedEnds;
+    private readonly orphanedRunStops: OrphanedRunStops;
+    private readonly resolver: RunResolver;
     private readonly calls: RunCalls;
     private readonly waiting: WaitingRuns;
     private readonly reconciler: RunReconciler;
@@ -74,12 +80,16 @@
                 this.completions.finish(run, result, reason),
             finishUnlisted: (run: OrderedRun, result: RunResult, reason: string) =>
                 this.unlistedEnds.finish(run, result, reason),
+            startNext: (run: OrderedRun, evidence: string) => this.calls.startNext(run, evidence),
             blockStarts: () => this.waiting.block(),
             watchStops: () => this.checkTimer.fireWithin(CHECK_INTERVAL_MS),
         };
-        this.calls = new RunCalls(session, this.table, this.lateStarts, owner, clock, log);
+        const stopCalls = new StopCalls(session);
+        this.orphanedRunStops = new OrphanedRunStops(stopCalls, clock, log);
+        this.resolver = new RunResolver(session, this.table, stopCalls, owner, clock, log);
+        this.calls = new RunCalls(session, this.table, this.lateStarts, this.resolver, owner, clock, log);
         this.waiting = new WaitingRuns(session, this.table, this.calls, this.unlistedEnds);
-        this.reconciler = new RunReconciler(this.table, this.calls, owner, clock);
+        this.reconciler = new RunReconciler(session, this.table, this.calls, this.orphanedRunStops, owner, clock);
         this.unwanted = new UnwantedRuns(session, this.table);
         session.setLeaseLimit(() => Math.min(this.table.leaseLimitMs, this.unwanted.sinceMs));
         session.setHasRuns(() => this.table.size > 0 || this.lateStarts.hasAny);
@@ -190,7 +200,7 @@
      */
     private endAllRuns(reason: string, replaced: boolean): void {
         this.slowdown.reset();
-        this.calls.reset();
+        this.orphanedRunStops.reset();
         this.unwanted.reset();
         if (replaced) {
             this.lateStarts.handleReplacement();
@@ -217,12 +227,12 @@
             this.calls.stop(run, "endpoint stalled");
         }
         for (const run of this.table.all) {
-            if (run.phase === RunPhase.Waiting && !this.calls.isInStartWindow(run)) {
+            if (run.phase === RunPhase.Waiting && !isInStartWindow(run, this.session.clockMs)) {
                 this.calls.stop(run, "no room in time");
             }
             else if (run.phase === RunPhase.Stopping && this.clock.now() >= run.stopDueAt) {
                 this.log.write(LeaseEvent.StopRepeated, { task: run.task, run: run.run });
-                this.calls.sendStop(run);
+                this.resolver.sendStop(run);
             }
         }
         const due = this.table.all.some(run => run.phase === RunPhase.Waiting || run.phase === RunPhase.Stopping);
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -1,25 +1,18 @@
 import { match } from "ts-pattern";
 import type { Clock } from "../../common/Clock.js";
-import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import { RunResult } from "../../common/leased/RunResult.js";
 import type { Log } from "../../common/log/Log.js";
-import type { EndpointReport } from "./EndpointReport.js";
 import type { EndpointSession } from "./EndpointSession.js";
-import { isSameIncarnation } from "./isSameIncarnation.js";
+import { isInStartWindow } from "./isInStartWindow.js";
 import type { LateStarts } from "./LateStarts.js";
 import { LeaseEvent } from "./LeaseEvent.js";
 import type { OrderedRun } from "./OrderedRun.js";
+import type { RunFinisher } from "./RunFinisher.js";
 import { RunPhase } from "./RunPhase.js";
+import type { RunResolver } from "./RunResolver.js";
 import type { RunTable } from "./RunTable.js";
 import { StartOutcome } from "./StartOutcome.js";
 import { StartTimeout } from "./StartTimeout.js";
-import { StopOutcome } from "./StopOutcome.js";
-
-/** Interval at which a stop is repeated until its run is known to have ended. */
-const STOP_REPEAT_MS = 60;
-
-/** Timeout for the response to a stop. */
-const STOP_TIMEOUT_MS = 100;
 
 /**
  * Maximum number of starts for one order, each with a higher run number, before the agent returns the task to its
@@ -28,52 +21,25 @@
 const MAX_STARTS = 4;
 
 /** Callbacks to the owner of the runs. */
-interface RunOwner {
-    /** Handles a run of which a list of the current incarnation shows that it has ended or will never begin. */
-    finish(run: OrderedRun, result: RunResult, reason: string): void;
-    /**
-     * Handles a run that is over without such a list. A task that has an unanswered start stays here until the start is
-     * ruled out.
-     */
-    finishUnlisted(run: OrderedRun, result: RunResult, reason: string): void;
+interface RunOwner extends RunFinisher {
     /** Blocks starts until the next run list, because the endpoint has less free capacity than the agent calculated. */
     blockStarts(): void;
-    /** Checks regularly for runs whose next stop call is due, until none is left. */
-    watchStops(): void;
 }
 
-/** Starts and stops single runs at the endpoint, and determines what became of calls that were not answered. */
+/** Starts and stops single runs at the endpoint, and starts a task again whose earlier run is ruled out. */
 export class RunCalls {
     private readonly startTimeout = new StartTimeout();
-    private readonly orphanStopDueAt = new Map<string, number>();
 
     constructor(
         private readonly session: EndpointSession,
         private readonly table: RunTable,
         private readonly lateStarts: LateStarts,
+        private readonly resolver: RunResolver,
         private readonly owner: RunOwner,
         private readonly clock: Clock,
         private readonly log: Log,
     ) {}
 
-    /**
-     * Whether a start may still take effect. A limit far in the future was calculated on the clock of an earlier
-     * incarnation.
-     */
-    public isInStartWindow(run: OrderedRun): boolean {
-        const clockMs = this.session.clockMs ?? Number.POSITIVE_INFINITY;
-        return clockMs < run.startBeforeMs && run.startBeforeMs <= clockMs + 2 * LEASE_TIMES.START_WINDOW_MS;
-    }
-
-    /**
-     * Whether the start window of a run was over when a call at `sentAt` was executed. No clock of an endpoint is fast,
-     * so the estimate minus the time since then is not ahead of its clock at that time.
-     */
-    public isAfterStartWindow(run: OrderedRun, sentAt: number): boolean {
-        const { clockMs } = this.session;
-        return clockMs !== undefined && clockMs - (this.clock.now() - sentAt) >= run.startBeforeMs;
-    }
-
     /** Starts a waiting run and handles the response. */
     public async start(run: OrderedRun): Promise<void> {
         const report = this.session.report;
@@ -117,7 +83,7 @@
         }
         else if (run.phase === RunPhase.Running) {
             run.phase = RunPhase.Stopping;
-            this.sendStop(run);
+            this.resolver.sendStop(run);
         }
     }
 
@@ -131,7 +97,7 @@
         run.startedAt = undefined;
         run.endpointLost = true;
         run.phase = RunPhase.Stopping;
-        this.sendStop(run);
+        this.resolver.sendStop(run);
     }
 
     /**
@@ -140,7 +106,7 @@
      */
     public startNext(run: OrderedRun, evidence: string): void {
         const wanted = run.stopReason === undefined && this.session.isRegistered;
-        if (!wanted || run.starts >= MAX_STARTS || !this.isInStartWindow(run)) {
+        if (!wanted || run.starts >= MAX_STARTS || !isInStartWindow(run, this.session.clockMs)) {
             this.owner.finish(run, RunResult.NotStarted, run.stopReason ?? "start not confirmed in time");
             return;
         }
@@ -160,26 +126,6 @@
         }
     }
 
-    /**
-     * Stops a run that no attached entry has ordered, such as one that an earlier process of this agent has started.
-     */
-    public stopOrphanedRun(task: string, number: number): void {
-        const dueAt = this.orphanStopDueAt.get(task) ?? 0;
-        if (this.clock.now() < dueAt) {
-            return;
-        }
-        this.orphanStopDueAt.set(task, this.clock.now() + STOP_REPEAT_MS);
-        this.log.write(LeaseEvent.OrphanedRunStopped, { task, run: number });
-        void this.callStopOf(task, number);
-    }
-
-    /** Sends a stop, which is repeated until the run is known to have ended. */
-    public sendStop(run: OrderedRun): void {
-        run.stopDueAt = this.clock.now() + STOP_REPEAT_MS;
-        void this.callStop(run, run.run);
-        this.owner.watchStops();
-    }
-
     private handleStartResponse(run: OrderedRun, outcome: StartOutcome, fence: number): void {
         if (outcome !== StartOutcome.Started && outcome !== StartOutcome.Unanswered) {
             this.log.write(LeaseEvent.StartRejected, { task: run.task, run: run.run, outcome });
@@ -196,11 +142,11 @@
                 this.waitForRoom(run);
             })
             .with(StartOutcome.Stale, () => {
-                void this.resolveRejected(run);
+                void this.resolver.resolveRejected(run);
             })
             .with(StartOutcome.Fenced, () => {
                 this.session.raiseFence(fence);
-                void this.resolveRejected(run);
+                void this.resolver.resolveRejected(run);
             })
             .with(StartOutcome.Unhealthy, () => {
                 this.owner.finishUnlisted(run, RunResult.Refused, outcome);
@@ -238,81 +184,10 @@
         }
         run.restartAfterStop = run.stopReason === undefined;
         run.phase = RunPhase.Stopping;
-        this.sendStop(run);
-    }
-
-    /**
-     * An earlier run, which made the run number or the fence stale, may still be there: only a run list can show that
-     * it has ended.
-     */
-    private async resolveRejected(run: OrderedRun): Promise<void> {
-        run.restartAfterStop = run.stopReason === undefined;
-        run.phase = RunPhase.Stopping;
-        run.stopDueAt = this.clock.now() + STOP_REPEAT_MS;
-        this.owner.watchStops();
-        await this.resolveByList(run, run.run, this.session.report);
-    }
-
-    private async callStop(run: OrderedRun, number: number): Promise<void> {
-        const report = this.session.report;
-        const outcome = await this.callStopOf(run.task, number);
-        if (outcome === StopOutcome.Accepted && this.isStoppingUnconfirmed(run, number)) {
-            await this.resolveByList(run, number, report);
-        }
-    }
-
-    /**
-     * Determines the outcome of a run after the incarnation of `before` has answered that it cannot begin any more: a
-     * list of the same incarnation that was requested after that shows whether it had begun before. Without such a
-     * list, the next stop leads here again.
-     */
-    private async resolveByList(run: OrderedRun, number: number, before: EndpointReport | undefined): Promise<void> {
-        const sentAt = this.clock.now();
-        const list = await this.session.pollNow();
-        const listed = list?.running.filter(({ task }) => task === run.task);
-        this.log.write(LeaseEvent.UnconfirmedRunPolled, {
-            task: run.task,
-            run: number,
-            lookMs: Math.round(this.clock.now() - sentAt),
-            answered: list !== undefined,
-            listed: listed?.map(other => other.run),
-        });
-        const { report } = this.session;
-        const sameIncarnation = before !== undefined && report !== undefined && isSameIncarnation(before, report);
-        if (listed?.length !== 0 || !sameIncarnation || !this.isStoppingUnconfirmed(run, number)) {
-            return;
-        }
-        if (run.restartAfterStop) {
-            this.startNext(run, "no run listed");
-        }
-        else {
-            this.owner.finish(run, RunResult.NotStarted, run.stopReason ?? "stopped before its start was confirmed");
-        }
-    }
-
-    private async callStopOf(task: string, run: number): Promise<StopOutcome> {
-        const fence = this.session.fence;
-        const { report } = this.session;
-        const endpoint = report?.life.id ?? "";
-        const response = await this.session.control.stop({ endpoint, fence, task, run, timeoutMs: STOP_TIMEOUT_MS });
-        this.session.observeClock(response.clockMs, report);
-        if (response.outcome === StopOutcome.Fenced) {
-            this.session.raiseFence(fence);
-        }
-        return response.outcome;
+        this.resolver.sendStop(run);
     }
 
     private isStarting(run: OrderedRun): boolean {
         return this.table.isCurrent(run) && run.phase === RunPhase.Starting;
     }
-
-    private isStoppingUnconfirmed(run: OrderedRun, number: number): boolean {
-        const current = this.table.isCurrent(run) && run.run === number;
-        return current && run.phase === RunPhase.Stopping && run.startedAt === undefined;
-    }
-
-    /** Discards the state of an earlier incarnation. */
-    public reset(): void {
-        this.orphanStopDueAt.clear();
-    }
 }
--- a/src/agent/leased/RunReconciler.ts
+++ b/src/agent/leased/RunReconciler.ts
@@ -1,24 +1,22 @@
 import type { Clock } from "../../common/Clock.js";
 import { RunResult } from "../../common/leased/RunResult.js";
+import type { EndpointSession } from "./EndpointSession.js";
 import type { FinishedRun } from "./FinishedRun.js";
 import type { OrderedRun } from "./OrderedRun.js";
+import type { OrphanedRunStops } from "./OrphanedRunStops.js";
 import type { RunCalls } from "./RunCalls.js";
+import type { RunFinisher } from "./RunFinisher.js";
 import type { RunList } from "./RunList.js";
 import { RunPhase } from "./RunPhase.js";
 import type { RunTable } from "./RunTable.js";
 
-interface RunFinisher {
-    /** Handles a run that has ended or will never begin. */
-    finish(run: OrderedRun, result: RunResult, reason: string): void;
-    /** Handles a run that is over although no list says how it has ended: its incarnation may have ended with it. */
-    finishUnlisted(run: OrderedRun, result: RunResult, reason: string): void;
-}
-
 /** Reconciles the runs that an agent knows with the run list of its endpoint. */
 export class RunReconciler {
     constructor(
+        private readonly session: EndpointSession,
         private readonly table: RunTable,
         private readonly calls: RunCalls,
+        private readonly orphanedRunStops: OrphanedRunStops,
         private readonly owner: RunFinisher,
         private readonly clock: Clock,
     ) {}
@@ -52,7 +50,16 @@
      */
     private cannotBegin(run: OrderedRun, sentAt: number): boolean {
         const unconfirmed = run.phase === RunPhase.Stopping && run.startedAt === undefined;
-        return unconfirmed && this.calls.isAfterStartWindow(run, sentAt);
+        return unconfirmed && this.isAfterStartWindow(run, sentAt);
+    }
+
+    /**
+     * Whether the start window of a run was over when a call at `sentAt` was executed. No clock of an endpoint is fast,
+     * so the estimate minus the time since then is not ahead of its clock at that time.
+     */
+    private isAfterStartWindow(run: OrderedRun, sentAt: number): boolean {
+        const { clockMs } = this.session;
+        return clockMs !== undefined && clockMs - (this.clock.now() - sentAt) >= run.startBeforeMs;
     }
 
     private applyFinished(run: OrderedRun, finished: FinishedRun, list: RunList): void {
@@ -72,7 +79,7 @@
     private applyRunning(task: string, number: number): void {
         const run = this.table.get(task);
         if (run?.run !== number) {
-            this.calls.stopOrphanedRun(task, number);
+            this.orphanedRunStops.stop(task, number);
         }
         else if (run.phase === RunPhase.Starting) {
             this.calls.markRunning(run);
--- /dev/null
+++ b/src/agent/leased/StopCalls.ts
@@ -0,0 +1,23 @@
+import type { EndpointSession } from "./EndpointSession.js";
+import { StopOutcome } from "./StopOutcome.js";
+
+/** Timeout for the response to a stop. */
+const STOP_TIMEOUT_MS = 100;
+
+/** Sends single stops to the endpoint. */
+export class StopCalls {
+    constructor(private readonly session: EndpointSession) {}
+
+    /** Stops the runs of a task up to the number `run`. */
+    public async send(task: string, run: number): Promise<StopOutcome> {
+        const fence = this.session.fence;
+        const { report } = this.session;
+        const endpoint = report?.life.id ?? "";
+        const response = await this.session.control.stop({ endpoint, fence, task, run, timeoutMs: STOP_TIMEOUT_MS });
+        this.session.observeClock(response.clockMs, report);
+        if (response.outcome === StopOutcome.Fenced) {
+            this.session.raiseFence(fence);
+        }
+        return response.outcome;
+    }
+}
--- a/src/agent/leased/WaitingRuns.ts
+++ b/src/agent/leased/WaitingRuns.ts
@@ -2,6 +2,7 @@
 import { fits } from "../../common/leased/fits.js";
 import { RunResult } from "../../common/leased/RunResult.js";
 import type { EndpointSession } from "./EndpointSession.js";
+import { isInStartWindow } from "./isInStartWindow.js";
 import type { RunCalls } from "./RunCalls.js";
 import { RunPhase } from "./RunPhase.js";
 import type { RunTable } from "./RunTable.js";
@@ -51,7 +52,7 @@
             if (!fits(run.need, free)) {
                 return;
             }
-            if (!this.calls.isInStartWindow(run)) {
+            if (!isInStartWindow(run, this.session.clockMs)) {
                 continue;
             }
             free = addResources(free, run.need, -1);
