Share the set-up of tests with two agents

Four tests of src/agent/leased repeated it: one entry, two agents, and an endpoint that drains until the test makes it ready. It is startTwoAgents now. No check or bound changed.

--- a/src/agent/leased/RunReconciler.test.ts
+++ b/src/agent/leased/RunReconciler.test.ts
@@ -1,15 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { CallDelivery } from "../../emulator/CallDelivery.js";
-import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
 import { findOverlappingRuns } from "../../emulator/findOverlappingRuns.js";
 import type { RunRecord } from "../../emulator/RunRecord.js";
+import { startTwoAgents } from "../../emulator/startTwoAgents.js";
 
 const ID = "00000000000000aa";
 
-/** Time until endpoints, agents and entries know each other; then the run of the earlier agent process begins. */
-const WARMUP_MS = 500;
-
 const RUN_MS = 1000;
 
 /** Time during which all run orders go to endpoint 1, which refuses connections. */
@@ -30,28 +27,21 @@
 /** Submits the job when agent 0 has seen an orphaned run of its task, and has sent a stop for it. */
 async function simulateOrphanedRun({ orphanedRun, firstStop, refusedFirst }: Scenario): Promise<readonly RunRecord[]> {
     let stops = 0;
-    const deployment = new EmulatedDeployment({
-        entries: 1,
-        agents: 2,
-        seed: 1,
-        cpu: 64_000,
-        taskCpu: 6000,
+    const deployment = await startTwoAgents({
         work: () => ({ ms: RUN_MS, how: "done" }),
         refusesWhileDown: true,
         deliveryOf: call => {
             stops += call === "stop" ? 1 : 0;
             return call === "stop" && stops === 1 ? firstStop : CallDelivery.Answered;
         },
-    });
-    deployment.deliverHeartbeat(refusedFirst ? 0 : 1, 1, 2, true);
-    await deployment.advance(WARMUP_MS);
+    }, refusedFirst ? 0 : 1);
     void deployment.endpoints[0]?.start({
         endpoint: "endpoint-0",
         fence: 1,
         task: `${ID}.0.0.0`,
         run: orphanedRun,
         spec: "spec",
-        untilMs: WARMUP_MS + 400,
+        untilMs: deployment.clock.now() + 400,
         timeoutMs: 40,
     });
     while (stops === 0) {
--- a/src/agent/leased/refusedConnections.test.ts
+++ b/src/agent/leased/refusedConnections.test.ts
@@ -1,10 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import type { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
 import { findOverlappingRuns } from "../../emulator/findOverlappingRuns.js";
-
-/** Time until endpoints, agents and entries know each other; then endpoint 0 crashes. */
-const WARMUP_MS = 500;
+import { startTwoAgents } from "../../emulator/startTwoAgents.js";
 
 /**
  * The poll that waits at the crash ends 106 ms later, and the second refused one 42 ms after that: the new incarnation
@@ -20,17 +18,10 @@
 
 /** Simulates a job that is submitted `submittedMs` after a crash of endpoint 0, whose agent gets the first order. */
 async function simulateCrash(submittedMs: number): Promise<EmulatedDeployment> {
-    const deployment = new EmulatedDeployment({
-        entries: 1,
-        agents: 2,
-        seed: 1,
-        cpu: 64_000,
-        taskCpu: 6000,
+    const deployment = await startTwoAgents({
         work: () => ({ ms: RUN_MS, how: "done" }),
         refusesWhileDown: true,
     });
-    deployment.deliverHeartbeat(1, 1, 2, true);
-    await deployment.advance(WARMUP_MS);
     deployment.endpoints[0]?.crash();
     for (let nowMs = 0; nowMs < 3 * RUN_MS; nowMs += 1) {
         if (nowMs === DOWN_MS) {
--- a/src/agent/leased/staleHeartbeats.test.ts
+++ b/src/agent/leased/staleHeartbeats.test.ts
@@ -1,11 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { CallDelivery } from "../../emulator/CallDelivery.js";
-import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import type { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
 import { findOverlappingRuns } from "../../emulator/findOverlappingRuns.js";
-
-/** Time until endpoints, agents and entries know each other; then the job is submitted. */
-const WARMUP_MS = 500;
+import { startTwoAgents } from "../../emulator/startTwoAgents.js";
 
 /** Time from the submission to the heartbeat of another incarnation. */
 const RUNNING_MS = 100;
@@ -39,12 +37,8 @@
 /** Deployment with a run at endpoint 0; endpoint 1 gets tasks from then on. */
 async function startRun(): Promise<Simulation> {
     let polls = 0;
-    const deployment = new EmulatedDeployment({
-        entries: 1,
-        agents: 2,
-        seed: 1,
+    const deployment = await startTwoAgents({
         cpu: 6000,
-        taskCpu: 6000,
         work: () => ({ ms: RUN_MS, how: "done" }),
         resetsConnectionsAtCrash: true,
         deliveryOf: (call, _task, endpoint) => {
@@ -52,8 +46,6 @@
             return CallDelivery.Answered;
         },
     });
-    deployment.deliverHeartbeat(1, 1, 2, true);
-    await deployment.advance(WARMUP_MS);
     void deployment.submit(0, "00000000000000aa", 1, RUN_MS, undefined, 4 * RUN_MS);
     await deployment.advance(RUNNING_MS);
     deployment.deliverHeartbeat(1, 1, 3);
--- a/src/agent/leased/stoppedAgent.test.ts
+++ b/src/agent/leased/stoppedAgent.test.ts
@@ -2,14 +2,12 @@
 import { describe, it } from "node:test";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import { CallDelivery } from "../../emulator/CallDelivery.js";
-import { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
+import type { EmulatedDeployment } from "../../emulator/EmulatedDeployment.js";
 import { findOverlappingRuns } from "../../emulator/findOverlappingRuns.js";
+import { startTwoAgents } from "../../emulator/startTwoAgents.js";
 
 const ID = "00000000000000aa";
 
-/** Time until endpoints, agents and entries know each other; then the job is submitted. */
-const WARMUP_MS = 500;
-
 /** Time from the submission to the end of the agent process that has started the task. */
 const RUNNING_MS = 150;
 
@@ -19,20 +17,12 @@
 const RUN_MS = 3000;
 
 /** Deployment with two agents, of which only the first one gets tasks until the second one's endpoint is ready. */
-async function startDeployment(stopsHeld: boolean): Promise<EmulatedDeployment> {
-    const deployment = new EmulatedDeployment({
-        entries: 1,
-        agents: 2,
-        seed: 1,
-        cpu: 64_000,
-        taskCpu: 6000,
+function startDeployment(stopsHeld: boolean): Promise<EmulatedDeployment> {
+    return startTwoAgents({
         clockRate: LEASE_TIMES.MIN_CLOCK_RATE,
         work: () => ({ ms: RUN_MS, how: "done" }),
         deliveryOf: call => call === "stop" && stopsHeld ? CallDelivery.Lost : CallDelivery.Answered,
     });
-    deployment.deliverHeartbeat(1, 1, 2, true);
-    await deployment.advance(WARMUP_MS);
-    return deployment;
 }
 
 describe("an agent that stops while a run is at its endpoint", () => {
