Count every call that may have renewed the endpoint lease

What callers could see: an agent reports a run as ended, and the entry starts the task elsewhere, while the run's lease is still in force.

Cause: LeaseRenewals, which decides that the lease of a silent endpoint has certainly expired, did not count all renewals: - starts renew the lease of everything at the endpoint for up to 400 ms, and only polls were counted; - a poll was looked up by a time that was read once before `begin` and once in it. On a real clock the two differ, so the end of any poll removed the newest pending one, which may still be in flight. A virtual clock cannot show it.

Change: each renewal has a record of its own with the time at which the lease has certainly expired, and starts have one as well.

--- a/src/agent/leased/EndpointLease.ts
+++ b/src/agent/leased/EndpointLease.ts
@@ -1,9 +1,16 @@
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
 import type { EndpointLiveness } from "./EndpointLiveness.js";
 import type { IncarnationTracker } from "./IncarnationTracker.js";
+import type { LeaseRenewal } from "./LeaseRenewal.js";
 import type { LeaseRenewals } from "./LeaseRenewals.js";
 
-/** Renewal of the endpoint lease by polls: whether they renew it, and until when. */
+/** Renewal that is sent to the endpoint, with its end on the endpoint's clock. */
+interface BegunRenewal {
+    readonly untilMs: number;
+    readonly renewal: LeaseRenewal;
+}
+
+/** Renewal of the endpoint lease by polls and starts: whether they renew it, and until when. */
 export class EndpointLease {
     private limit = (): number => Number.POSITIVE_INFINITY;
 
@@ -25,19 +32,29 @@
 
     /**
      * Begins a renewal by a poll that is sent at `clockMs` on the endpoint's clock. Returns the time on that clock until
-     * which it renews the lease; undefined when it renews nothing.
+     * which it renews the lease, with its record; undefined when it renews nothing.
      */
-    public beginRenewal(clockMs: number | undefined): number | undefined {
+    public beginPoll(clockMs: number | undefined): BegunRenewal | undefined {
         if (clockMs === undefined || !this.isRenewed) {
             return undefined;
         }
-        this.renewals.begin();
-        return Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.limitMs);
+        const untilMs = Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.limitMs);
+        return { untilMs, renewal: this.renewals.begin(LEASE_TIMES.ENDPOINT_LEASE_MS) };
+    }
+
+    /**
+     * Begins a renewal by a start that is sent at `clockMs` on the endpoint's clock and may take effect until
+     * `startBeforeMs`.
+     */
+    public beginStart(clockMs: number | undefined, startBeforeMs: number): BegunRenewal {
+        const untilMs = Math.min(startBeforeMs, this.limitMs);
+        const leaseMs = clockMs === undefined ? LEASE_TIMES.ENDPOINT_LEASE_MS : Math.max(0, untilMs - clockMs);
+        return { untilMs, renewal: this.renewals.begin(leaseMs) };
     }
 
-    /** Records the end of the poll that was sent with a renewal at `sentAt`. */
-    public settleRenewal(sentAt: number, refused: boolean): void {
-        this.renewals.settle(sentAt, refused);
+    /** Records the end of the call with a renewal. */
+    public settle(renewal: LeaseRenewal, refused: boolean): void {
+        this.renewals.settle(renewal, refused);
     }
 
     /**
--- a/src/agent/leased/EndpointPolls.ts
+++ b/src/agent/leased/EndpointPolls.ts
@@ -45,17 +45,17 @@
         const fence = this.fence.value;
         // The clock and the acknowledged runs are those of the current incarnation.
         const clockMs = announced ? undefined : this.state.clockMs;
-        const untilMs = this.lease.beginRenewal(clockMs);
+        const begun = this.lease.beginPoll(clockMs);
         const response = await this.control.poll({
             endpoint: target.life.id,
             fence,
-            untilMs,
+            untilMs: begun?.untilMs,
             acknowledged: announced ? 0 : this.state.acknowledged,
             waitMs: clockMs === undefined ? 0 : waitMs,
             timeoutMs: waitMs + POLL_TIMES.SLACK_MS,
         });
-        if (untilMs !== undefined) {
-            this.lease.settleRenewal(sentAt, response.outcome === PollOutcome.Unreachable);
+        if (begun !== undefined) {
+            this.lease.settle(begun.renewal, response.outcome === PollOutcome.Unreachable);
         }
         return this.responses.handle({ target, announced, fence, sentAt }, response);
     }
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -11,6 +11,7 @@
 import type { EndpointReport } from "./EndpointReport.js";
 import { IncarnationState } from "./IncarnationState.js";
 import { IncarnationTracker } from "./IncarnationTracker.js";
+import type { LeaseRenewal } from "./LeaseRenewal.js";
 import { LeaseRenewals } from "./LeaseRenewals.js";
 import { nameIncarnation } from "./nameIncarnation.js";
 import { POLL_TIMES } from "./POLL_TIMES.js";
@@ -121,6 +122,19 @@
         return this.lease.limitMs;
     }
 
+    /**
+     * Begins a start that may take effect until `startBeforeMs` on the endpoint's clock. It renews the endpoint lease
+     * until then, or until the limit of the lease.
+     */
+    public beginStart(startBeforeMs: number): ReturnType<EndpointLease["beginStart"]> {
+        return this.lease.beginStart(this.clockMs, startBeforeMs);
+    }
+
+    /** Records the end of a call that renews the endpoint lease; a refused one has not renewed it. */
+    public settleRenewal(renewal: LeaseRenewal, refused: boolean): void {
+        this.lease.settle(renewal, refused);
+    }
+
     /** Estimate of the endpoint's clock in milliseconds; undefined before its first response. */
     public get clockMs(): number | undefined {
         return this.state.clockMs;
--- a/src/agent/leased/LeaseRenewals.ts
+++ b/src/agent/leased/LeaseRenewals.ts
@@ -1,39 +1,65 @@
 import type { Clock } from "../../common/Clock.js";
 import { LEASE_TIMES } from "../../common/leased/LEASE_TIMES.js";
+import type { LeaseRenewal } from "./LeaseRenewal.js";
+
+/** Margin for late messages and timers after which a lease has certainly expired. */
+const MARGIN_MS = 30;
+
+/** Longest time from a poll that renews the endpoint lease until it has certainly expired. */
+const LEASE_EXPIRY_MS = longestMs(LEASE_TIMES.ENDPOINT_LEASE_MS);
+
+const NO_RENEWAL: LeaseRenewal = { sentAt: Number.NEGATIVE_INFINITY, expiredAt: Number.NEGATIVE_INFINITY };
 
 /**
- * Time after the last renewal that may have arrived until the endpoint lease has certainly expired: its length on the
- * slowest clock, plus a margin.
+ * Calls that renew the endpoint lease: polls, and starts, whose time limit holds for everything at the endpoint. One that
+ * is not answered may have renewed it; one that is refused has not.
  */
-const LEASE_EXPIRY_MS = LEASE_TIMES.ENDPOINT_LEASE_MS / LEASE_TIMES.MIN_CLOCK_RATE + 30;
-
-/** Polls that renew the endpoint lease. One that is not answered may have renewed it; one that is refused has not. */
 export class LeaseRenewals {
-    private readonly pending: number[] = [];
-    private renewedAt = Number.NEGATIVE_INFINITY;
+    private readonly pending = new Set<LeaseRenewal>();
+    private settled = NO_RENEWAL;
 
     constructor(private readonly clock: Clock) {}
 
     /** Time since the last renewal that may have arrived. */
     public get ageMs(): number {
-        return this.clock.now() - Math.max(this.renewedAt, ...this.pending);
+        return this.clock.now() - this.latest.sentAt;
     }
 
     /** Whether the lease of runs that were last listed at `listedAt` has certainly expired. */
     public hasExpired(listedAt: number): boolean {
-        return Math.min(this.ageMs, this.clock.now() - listedAt) > LEASE_EXPIRY_MS;
+        const now = this.clock.now();
+        return now > this.latest.expiredAt && now - listedAt > LEASE_EXPIRY_MS;
     }
 
-    /** Records that a renewal is sent now. */
-    public begin(): void {
-        this.pending.push(this.clock.now());
+    /** Records that a renewal for `leaseMs` on the endpoint's clock is sent now. */
+    public begin(leaseMs: number): LeaseRenewal {
+        const sentAt = this.clock.now();
+        const renewal = { sentAt, expiredAt: sentAt + longestMs(leaseMs) };
+        this.pending.add(renewal);
+        return renewal;
     }
 
-    /** Records the end of the call that was sent with a renewal at `sentAt`. */
-    public settle(sentAt: number, refused: boolean): void {
-        this.pending.splice(this.pending.indexOf(sentAt), 1);
+    /** Records the end of the call with a renewal. */
+    public settle(renewal: LeaseRenewal, refused: boolean): void {
+        this.pending.delete(renewal);
         if (!refused) {
-            this.renewedAt = Math.max(this.renewedAt, sentAt);
+            this.settled = latestOf([this.settled, renewal]);
         }
     }
+
+    private get latest(): LeaseRenewal {
+        return latestOf([this.settled, ...this.pending]);
+    }
+}
+
+/** Longest time that a lease of `leaseMs` on the endpoint's clock takes, with the margin. */
+function longestMs(leaseMs: number): number {
+    return leaseMs / LEASE_TIMES.MIN_CLOCK_RATE + MARGIN_MS;
+}
+
+function latestOf(renewals: readonly LeaseRenewal[]): LeaseRenewal {
+    return {
+        sentAt: Math.max(...renewals.map(({ sentAt }) => sentAt)),
+        expiredAt: Math.max(...renewals.map(({ expiredAt }) => expiredAt)),
+    };
 }
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -52,15 +52,17 @@
         const number = run.run;
         const sentAt = this.clock.now();
         const fence = this.session.fence;
+        const { untilMs, renewal } = this.session.beginStart(run.startBeforeMs);
         const response = await this.session.control.start({
             endpoint: report.life.id,
             fence,
             task: run.task,
             run: number,
             spec: run.spec,
-            untilMs: Math.min(run.startBeforeMs, this.session.leaseLimitMs),
+            untilMs,
             timeoutMs: this.startTimeout.timeoutMs,
         });
+        this.session.settleRenewal(renewal, response.outcome === StartOutcome.Unreachable);
         this.session.observeClock(response.clockMs, report);
         this.startTimeout.observe(this.clock.now() - sentAt);
         const listed = this.table.isCurrent(run) && run.run === number && run.startedAt !== undefined;
