Report finished runs before an agent closes its connections

What callers could see: a task that was done runs again 1295 ms later at another endpoint, after an agent was stopped as planned. Requests that must not be repeated were run twice, one run after the other.

Cause: an agent stops once it has no runs, but the end of the last one is queued for 1 ms to be reported with others, and dispose dropped the queue. On a busy machine the process ends within that millisecond. The entry then takes the task for one that ended with its agent.

Change: dispose sends what is queued, before the connections are closed.

--- a/src/agent/leased/EntryReports.ts
+++ b/src/agent/leased/EntryReports.ts
@@ -77,10 +77,12 @@
         this.sendReport(entry, this.currentStatus());
     }
 
+    /** Reports the finished runs that are still queued, and stops. */
     public dispose(): void {
         this.reportTimer.dispose();
         this.cancelHeartbeat?.();
         this.cancelCompletions?.();
+        this.sendCompletions();
     }
 
     /**
