Let an order that is too late supersede no run

What callers could see: the run of a job's second submission was stopped, and the job refused, by an order of the entry that the caller had left.

Cause: rule 12 of docs/platform.md takes the order that arrives later for that of the newer submission. An order whose entry lease has ended, or that is on the clock of an earlier incarnation, was sent by an entry that its caller has lost.

Change: such an order starts nothing from the beginning, and where a run of another entry occupies its task, it is reported as superseded, so its entry gives the job up.

Ruled out: reporting it as not started, after which its entry may place the task at another endpoint beside the live run.

--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -145,6 +145,16 @@
         this.usageChanges.fire(undefined);
     }
 
+    /**
+     * Reports the tasks of a late order that runs of other entries occupy as superseded, and returns their names. The
+     * order comes from an entry that its caller has lost, because the caller has submitted the job again since.
+     */
+    public supersede(owner: string, order: MessageOf<"run">, reason: string): readonly string[] {
+        const occupied = order.tasks.filter(({ name }) => (this.table.get(name)?.owner ?? owner) !== owner);
+        occupied.forEach(({ name, run }) => this.completions.supersede(owner, name, run, reason));
+        return occupied.map(({ name }) => name);
+    }
+
     /**
      * Stops tasks of `owner`; their results are reported like all others. `wantedUntilMs` is the time on the endpoint's
      * clock until which they were wanted: if the stops have no effect, the endpoint lease ends them.
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -87,23 +87,22 @@
     public handleOrder(message: MessageOf<"run">): void {
         this.lastOrderNumber = message.order;
         this.renewLease(message.tenureUntilMs, message.incarnation);
-        const names = message.tasks.map(task => task.name);
         this.log.write(LeaseEvent.RunOrderReceived, {
             job: message.job,
-            tasks: names,
+            tasks: message.tasks.map(({ name }) => name),
             owner: this.owner,
             tenured: this.hasLease,
             untilMs: this.leaseUntilMs,
             clockMs: this.session.clockMs,
         });
         if (!this.isCurrent(message.incarnation)) {
-            this.runs.acceptOrder(this.owner, { ...message, startBeforeMs: WINDOW_OVER });
-            this.runs.abort(this.owner, names, "ordered on the clock of another incarnation of the endpoint");
-            return;
+            this.returnOrder(message, "ordered on the clock of another incarnation of the endpoint");
         }
-        this.runs.acceptOrder(this.owner, message);
-        if (!this.hasLease) {
-            this.runs.abort(this.owner, names, "no entry lease in force");
+        else if (this.hasLease) {
+            this.runs.acceptOrder(this.owner, message);
+        }
+        else {
+            this.returnOrder(message, "no entry lease in force");
         }
     }
 
@@ -136,6 +135,14 @@
         return clockMs === undefined ? undefined : Math.min(clockMs, this.leaseUntilMs ?? clockMs);
     }
 
+    /** Returns the tasks of an order without starting them. */
+    private returnOrder(message: MessageOf<"run">, reason: string): void {
+        const names = this.runs.supersede(this.owner, message, reason);
+        const tasks = message.tasks.filter(({ name }) => !names.includes(name));
+        this.runs.acceptOrder(this.owner, { ...message, tasks, startBeforeMs: WINDOW_OVER });
+        this.runs.abort(this.owner, tasks.map(({ name }) => name), reason);
+    }
+
     /** Whether an entry means the current incarnation; older entries do not name any. */
     private isCurrent(incarnation: string | undefined): boolean {
         return incarnation === undefined || incarnation === this.session.incarnation;
--- a/src/agent/leased/RunCompletions.ts
+++ b/src/agent/leased/RunCompletions.ts
@@ -59,6 +59,13 @@
         this.removals.fire(undefined);
     }
 
+    /** Reports an order of a task that a run of another entry occupies as superseded. */
+    public supersede(owner: string, task: string, run: number, reason: string): void {
+        const completion = { task, run, result: RunResult.Superseded, ranMs: 0, reason };
+        this.log.write(LeaseEvent.RunEnded, { ...completion, waitedMs: 0, owner, starts: 0 });
+        this.completions.fire({ owner, completion, orderContinues: false });
+    }
+
     /** Logs the reports of ended runs that a list requested at `sentAt` contradicts. Runs of later orders do not. */
     public checkReports(list: RunList, sentAt: number): void {
         for (const { task, run } of list.running) {
