Compute entry leases from the time up to which the entry has read its input

A caller's connection ended at an entry whose turns of the event loop took 400 ms. The caller submitted again 1300 ms later, while the first run lived on.

Cause: an entry renews its entry leases and places tasks in the timers phase, before it reads that a caller has left up to one turn earlier, and it learns of that at the end of the turn after that. The lease began at the time of the renewal, so LEASE_TIMES lacked that delay. The stall detector saw single gaps above 560 ms only, and did not keep the entry from renewing.

Trace before (lateProcesses.test.ts; entry 0 with turns of 400 ms, agent 0 with turns of 600 ms; times from the end of the caller's connection):

100 entry 0 renews at agent 0 until 1539 on the endpoint's clock 400 again, until 1833, before it reads the end of the connection 800 again, until 2128; it reports the end and sends the abort, which agent 0 reads in its next turn, at 1400 1300 the job is submitted to entry 1 1305 second run begins at endpoint-1 1372 first run ends at endpoint-0, as its endpoint lease lapses

With the abort lost and a prompt agent, the first run ended at 1351.

An InputHorizon notes the time and waits until the event loop has read and reported what had arrived by then. Leases begin at that time, however late the process is. An entry whose horizon is older than 400 ms places nothing. This replaces the stall detector and the timer of the renewals: an idle entry has 15 timers a second, as before. An order's start window ends with the lease at the latest. Lines 8514 and 8515 mark a late phase.

The horizon lies before the newest report of an agent. The clock of its endpoint at that time is estimated from the last four reports; each gives a lower bound, so the highest one holds.

Ruled out: the agent's side of the sum. An agent checks entry leases before each poll that renews the endpoint lease, so the sum holds from the beginning of the entry lease however late it is. spec/lease.pml now has an entry that reads a loss at any time; NO_HORIZON finds the fault.

--- a/scripts/checkModel.mjs
+++ b/scripts/checkModel.mjs
@@ -59,6 +59,7 @@
             ["LONG_ENTRY_LEASE"],
             ["SHORT_EXPIRY"],
             ["NO_ENTRY_LEASE"],
+            ["NO_HORIZON"],
             ["NO_START_WINDOW"],
             ["RENEW_BEFORE_CHECK"],
             ["RENEW_WHILE_STOPPING"],
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -12,6 +12,10 @@
  * renewed, and an endpoint lease may be renewed just before the entry lease expires. In each step any of these may
  * happen: a run order takes effect late, also after the loss; a renewal of the entry lease is lost; the loss; the agent
  * stalls or resumes; the endpoint holds a stop back.
+ *
+ * The entry may be late by any time: it orders runs and renews the entry lease until it has read the loss. It computes
+ * leases from its input horizon, a time up to which it has read everything, which is never after a loss that it has not
+ * read.
  */
 #ifdef LONG_ENTRY_LEASE
 #define ENTRY_LEASE 10 /* 600 ms on the slowest clock: 612 ms */
@@ -25,7 +29,7 @@
 #else
 #define LOST_RUN_EXPIRY 20 /* 1295 ms */
 #endif
-#define HORIZON 36
+#define LAST_STEP 36
 
 #ifdef LONG_ENDPOINT_LEASE
 #define ENDPOINT_LEASE 17 /* 1000 ms on the slowest clock and 50 ms of a stop: 1070 ms */
@@ -39,6 +43,7 @@
 byte startBefore = 0; /* end of the start window; 0 before the run order */
 byte endpointLeaseUntil = 0;
 bool agentUp = true;
+bool lossRead = false;
 bool started = false;
 bool firstRun = false;
 bool secondRun = false;
@@ -50,12 +55,31 @@
     endpointLeaseUntil = (until > endpointLeaseUntil -> until : endpointLeaseUntil)
 }
 
+/* Latest input horizon that the entry may have. */
+#ifdef NO_HORIZON
+#define LATEST_HORIZON now
+#else
+#define LATEST_HORIZON (lostAt == 0 -> now : lostAt)
+#endif
+
+/* An older horizon would make the lease shorter. */
+inline extendEntryLease() {
+    entryLeaseUntil = LATEST_HORIZON + ENTRY_LEASE
+}
+
+/* A late entry may read the loss at any time. */
+inline readLoss() {
+    MAYBE((lostAt != 0), lossRead = true)
+}
+
 /*
- * A run order renews the entry lease. The endpoint may execute the start at any time in the start window: the order may
- * arrive after the loss, and the call may be held back.
+ * A run order renews the entry lease, and the agent accepts it while that lease is in force. The endpoint may execute the
+ * start at any time in the start window: the order may arrive after the loss, and the call may be held back.
  */
 inline orderRun() {
-    MAYBE((lostAt == 0 && startBefore == 0 && agentUp), startBefore = now + START_WINDOW; entryLeaseUntil = now + ENTRY_LEASE);
+    MAYBE((!lossRead && startBefore == 0 && agentUp && now < LATEST_HORIZON + ENTRY_LEASE),
+        extendEntryLease();
+        startBefore = (now + START_WINDOW < entryLeaseUntil -> now + START_WINDOW : entryLeaseUntil));
 #ifdef NO_START_WINDOW
     MAYBE((startBefore != 0 && !started), started = true; firstRun = true; endpointLeaseUntil = now + START_WINDOW);
 #else
@@ -64,7 +88,7 @@
 }
 
 inline renewEntryLease() {
-    MAYBE((lostAt == 0 && startBefore != 0), entryLeaseUntil = now + ENTRY_LEASE);
+    MAYBE((!lossRead && startBefore != 0), extendEntryLease());
 }
 
 /* Stops the run of an entry lease that has expired. */
@@ -119,9 +143,9 @@
     fi
 }
 
-/* A loss before the run order is left out: it leads to no first run. */
+/* The run order may come after the loss, which the entry has not read yet. */
 inline lose() {
-    MAYBE((lostAt == 0 && startBefore != 0 && now + RESUBMIT < HORIZON), lostAt = now)
+    MAYBE((lostAt == 0 && now + RESUBMIT < LAST_STEP), lostAt = now)
 }
 
 /* Either loss may have happened, so the second run may begin after the shorter of both times. */
@@ -131,11 +155,12 @@
 
 active proctype steps() {
     do
-    :: now < HORIZON && !secondRun ->
+    :: now < LAST_STEP && !secondRun ->
         atomic {
             renewEntryLease();
             orderRun();
             lose();
+            readLoss();
             agentStep();
             endpointStep();
             startElsewhere();
--- a/src/common/leased/LEASE_TIMES.test.ts
+++ b/src/common/leased/LEASE_TIMES.test.ts
@@ -12,8 +12,8 @@
 const MARGIN_MS = 20;
 
 /**
- * Longest time from the last renewal of an entry lease to the end of its runs, when the agent is paused as the lease
- * expires.
+ * Longest time from the beginning of the last entry lease to the end of its runs, when the agent is paused as the lease
+ * expires. A lease begins before the caller's connection ends, because the entry has read all input up to then.
  */
 const LONGEST_RUN_MS = (LEASE_TIMES.ENTRY_LEASE_MS + LEASE_TIMES.ENDPOINT_LEASE_MS) / LEASE_TIMES.MIN_CLOCK_RATE
     + STOP_MS;
--- a/src/common/leased/LEASE_TIMES.ts
+++ b/src/common/leased/LEASE_TIMES.ts
@@ -5,7 +5,9 @@
  */
 export const LEASE_TIMES = {
     /**
-     * Duration of an entry lease: how long the runs of an entry may live after the last renewal that reached the agent.
+     * Duration of an entry lease: how long the runs of an entry may live after the time up to which the entry had read its
+     * input when it sent the last renewal that reached the agent. A caller whose job still has the lease left after that
+     * time, so a late entry does not prolong its runs.
      */
     ENTRY_LEASE_MS: 560,
     /** Interval at which an entry renews its entry lease at each agent that has tasks of it. */
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -10,8 +10,8 @@
 import type { MessageOf } from "../../common/wire/MessageOf.js";
 import { AgentView } from "./AgentView.js";
 import { EntryLeaseEvent } from "./EntryLeaseEvent.js";
+import { InputHorizon } from "./InputHorizon.js";
 import { isInterchangeable } from "./isInterchangeable.js";
-import { ProcessStallDetector } from "./ProcessStallDetector.js";
 
 interface FinishedRuns {
     readonly agent: AgentView;
@@ -33,8 +33,7 @@
     private readonly finishedEmitter = new Emitter<FinishedRuns>();
     private readonly lostEmitter = new Emitter<AgentView>();
     private readonly loadEmitter = new Emitter<AgentView>();
-    private readonly stallDetector: ProcessStallDetector;
-    private cancelCheck: (() => void) | undefined;
+    private readonly horizon: InputHorizon;
     private lastCheckAt = 0;
     private skipsTimeoutCheck = false;
 
@@ -52,7 +51,8 @@
         private readonly clock: Clock,
         private readonly log: Log,
     ) {
-        this.stallDetector = new ProcessStallDetector(clock);
+        this.horizon = new InputHorizon(clock, log);
+        this.horizon.onAdvance(() => this.checkAgents());
         routes.onChange(document => {
             log.write(EntryLeaseEvent.RoutesApplied, { version: document.version });
             this.broadcast({ kind: "routes", document });
@@ -60,9 +60,9 @@
         this.checkAgents();
     }
 
-    /** Whether the process has just been stalled and may not have read yet what agents and callers sent meanwhile. */
-    public get mayHaveUnreadInput(): boolean {
-        return this.stallDetector.mayHaveUnreadInput;
+    /** Whether the process is late, so that run orders would give the tasks hardly any time. */
+    public get isLate(): boolean {
+        return this.horizon.isTooOld;
     }
 
     public get(id: string): AgentView | undefined {
@@ -77,6 +77,11 @@
         return hasTask(this.views.values(), task) || hasTask(this.lostAgents, task);
     }
 
+    /** Renews the entry lease at an agent, and returns its new end on the endpoint's clock for a message to the agent. */
+    public renewEntryLease(view: AgentView): number {
+        return view.renewEntryLease(this.horizon.at);
+    }
+
     /** Attaches an agent. An agent that is already attached from the same VM counts as lost. */
     public attach(channel: Channel): void {
         const id = channel.peer.id;
@@ -104,8 +109,7 @@
     }
 
     public dispose(): void {
-        this.cancelCheck?.();
-        this.stallDetector.dispose();
+        this.horizon.dispose();
         for (const view of [...this.views.values()]) {
             view.channel.close("entry stops");
         }
@@ -143,7 +147,7 @@
             this.log.write(EntryLeaseEvent.EndpointChanged, { agent: view.id, endpoint, service, accepting });
         }
         if (view.tasks.size > 0 && !message.tenured) {
-            this.renewEntryLease(view);
+            this.sendRenewal(view);
         }
         this.loadEmitter.fire(view);
     }
@@ -159,18 +163,15 @@
                 this.removeAgent(view, "no load report within the timeout");
                 view.channel.dispose();
             }
-            else if (isRenewalDue(view, now)) {
-                this.renewEntryLease(view);
+            else if (isRenewalDue(view, this.horizon.at)) {
+                this.sendRenewal(view);
             }
         }
-        this.cancelCheck = this.clock.schedule(LEASE_TIMES.ENTRY_LEASE_RENEWAL_MS, () => {
-            this.checkAgents();
-        });
     }
 
-    private renewEntryLease(view: AgentView): void {
+    private sendRenewal(view: AgentView): void {
         const agents = this.countInterchangeable(view);
-        const untilMs = view.renewEntryLease(this.clock.now());
+        const untilMs = this.renewEntryLease(view);
         view.channel.send({ kind: "tenure", untilMs, incarnation: view.status?.incarnation, agents });
     }
 
@@ -215,12 +216,12 @@
     return view.status !== undefined && view.reportAgeMs(now) > limitMs;
 }
 
-/** Run orders renew the entry lease as well, so an agent that gets them steadily needs no other renewal. */
-function isRenewalDue(view: AgentView, now: number): boolean {
+/** Run orders renew the entry lease as well, to the same time as a renewal that could have been sent with them. */
+function isRenewalDue(view: AgentView, horizon: number): boolean {
     const intervalMs = view.tasks.size > 0
         ? LEASE_TIMES.ENTRY_LEASE_RENEWAL_MS
         : LEASE_TIMES.IDLE_ENTRY_LEASE_RENEWAL_MS;
-    // The timer fires once per interval. The tolerance of half an interval lets a renewal by the previous timer count
-    // as due, and one by a run order just before as not due.
-    return view.leaseAgeMs(now) >= intervalMs - LEASE_TIMES.ENTRY_LEASE_RENEWAL_MS / 2;
+    // The horizon advances once per interval, in a late process by half an interval or more. The tolerance of half an
+    // interval makes each advance renew the lease of an agent with tasks.
+    return view.leaseAgeMs(horizon) >= intervalMs - LEASE_TIMES.ENTRY_LEASE_RENEWAL_MS / 2;
 }
--- a/src/entry/leased/AgentView.ts
+++ b/src/entry/leased/AgentView.ts
@@ -11,10 +11,24 @@
     readonly need: Resources;
 }
 
+/** Lower bound of the endpoint's clock in a report, with the time at which the report was read. */
+interface ClockSample {
+    readonly clockMs: number;
+    readonly at: number;
+}
+
+/**
+ * Number of reports whose clocks are compared. Several of them lie on both sides of the time of an estimate, and a report
+ * that was read late does not set the estimate back.
+ */
+const CLOCK_SAMPLES = 4;
+
 /** State of one attached agent and its endpoint, as the entry knows it. */
 export class AgentView {
     /** Names of the tasks that the entry has sent to this agent and that have not ended. */
     public readonly tasks = new Set<string>();
+    /** Clock of the endpoint's current incarnation in the last reports, the newest last. */
+    private clockSamples: readonly ClockSample[] = [];
     private lastStatus: EndpointStatus | undefined;
     private reportedAt = 0;
     private leaseRenewedAt = Number.NEGATIVE_INFINITY;
@@ -46,6 +60,7 @@
 
     /** Stores a load report of the agent. */
     public applyReport(message: MessageOf<"load">, now: number): void {
+        this.observeClock(message.condition, now);
         this.lastStatus = message.condition;
         this.reportedAt = now;
         this.unreportedOrders = this.unreportedOrders.filter(order => order.number > message.orders);
@@ -54,26 +69,26 @@
     }
 
     /**
-     * Estimate of the endpoint's clock in milliseconds, which lags behind it by at least the one-way network delay;
-     * undefined until a report contains it.
+     * Estimate of the endpoint's clock at a time, in milliseconds, which lags behind it by at least the one-way network
+     * delay; undefined until a report contains it.
      */
-    public clockMs(now: number): number | undefined {
-        const reported = this.lastStatus?.clockMs ?? 0;
-        return reported === 0 ? undefined : Math.floor(reported + this.reportAgeMs(now) * LEASE_TIMES.MIN_CLOCK_RATE);
+    public clockMs(at: number): number | undefined {
+        const bounds = this.clockSamples.map(sample => lowerBound(sample, at));
+        return bounds.length === 0 ? undefined : Math.floor(Math.max(...bounds));
     }
 
-    /** Time since the last renewal of the entry lease in milliseconds. */
-    public leaseAgeMs(now: number): number {
-        return now - this.leaseRenewedAt;
+    /** Time from the horizon of the last renewal of the entry lease to another horizon, in milliseconds. */
+    public leaseAgeMs(horizon: number): number {
+        return horizon - this.leaseRenewedAt;
     }
 
     /**
-     * Records a renewal of the entry lease; returns its new end on the endpoint's clock, or 0 while that clock is
-     * unknown.
+     * Records a renewal of the entry lease, which begins at the time up to which the entry has read its input. Returns its
+     * new end on the endpoint's clock, or 0 while that clock is unknown.
      */
-    public renewEntryLease(now: number): number {
-        const clockMs = this.clockMs(now);
-        this.leaseRenewedAt = now;
+    public renewEntryLease(horizon: number): number {
+        const clockMs = this.clockMs(horizon);
+        this.leaseRenewedAt = horizon;
         return clockMs === undefined ? 0 : clockMs + LEASE_TIMES.ENTRY_LEASE_MS;
     }
 
@@ -93,4 +108,19 @@
         this.lastRunOrder += 1;
         return this.lastRunOrder;
     }
+
+    private observeClock({ clockMs, endpoint, incarnation }: EndpointStatus, now: number): void {
+        const isSame = incarnation !== undefined && incarnation === this.lastStatus?.incarnation
+            && endpoint === this.lastStatus.endpoint;
+        const earlier = isSame ? this.clockSamples.slice(1 - CLOCK_SAMPLES) : [];
+        this.clockSamples = clockMs === 0 ? [] : [...earlier, { clockMs, at: now }];
+    }
+}
+
+/**
+ * Estimate of an endpoint's clock at a time that is not ahead of it. Before the sample, the clock is assumed to be exact,
+ * and after it, to run at the slowest rate.
+ */
+function lowerBound({ clockMs, at: sampledAt }: ClockSample, at: number): number {
+    return clockMs + (at - sampledAt) * (at < sampledAt ? 1 : LEASE_TIMES.MIN_CLOCK_RATE);
 }
--- a/src/entry/leased/EntryLeaseEvent.ts
+++ b/src/entry/leased/EntryLeaseEvent.ts
@@ -24,6 +24,12 @@
         level: LogLevel.Info,
         text: "endpoint of an agent, or whether it accepts, changed",
     },
+    InputLate: {
+        number: 8514,
+        level: LogLevel.Warn,
+        text: "process is late to read its input, entry leases end earlier and no tasks are placed meanwhile",
+    },
+    InputPrompt: { number: 8515, level: LogLevel.Info, text: "process reads its input in time again" },
     RoutesApplied: { number: 8520, level: LogLevel.Info, text: "routing document of a higher version applied" },
     Draining: { number: 8521, level: LogLevel.Info, text: "entry drains, reports not ready, waits for its open jobs" },
 } as const satisfies Record<string, LogEvent>;
--- a/src/entry/leased/TaskPlacer.ts
+++ b/src/entry/leased/TaskPlacer.ts
@@ -30,9 +30,9 @@
 
     /** Sends ready tasks to agents, job by job. It goes on to the next job at the first task without an agent. */
     public place(jobs: readonly LeasedJob[], now: number): void {
-        // A job whose caller has disconnected may run again elsewhere. After a stall, such disconnects may not have
-        // been read yet, so nothing is started until they have.
-        if (this.channels.mayHaveUnreadInput) {
+        // A job whose caller has disconnected may run again elsewhere. A late process has not read all disconnects yet,
+        // so the leases that it may give are over before the tasks could start.
+        if (this.channels.isLate) {
             return;
         }
         const accepting = [...this.channels.agents]
@@ -81,6 +81,7 @@
     private send(job: LeasedJob, { agent, step, tasks }: Batch, now: number): void {
         job.dispatched = true;
         const clockMs = agent.clockMs(now) ?? 0;
+        const tenureUntilMs = this.channels.renewEntryLease(agent);
         agent.channel.send({
             kind: "run",
             order: agent.nextRunOrder(),
@@ -89,8 +90,8 @@
             tasks: tasks.map(({ name, nextRun: run }) => ({ name, run })),
             need: step.need,
             estimateMs: step.estimateMs,
-            startBeforeMs: clockMs + LEASE_TIMES.START_WINDOW_MS,
-            tenureUntilMs: agent.renewEntryLease(now),
+            startBeforeMs: Math.min(clockMs + LEASE_TIMES.START_WINDOW_MS, tenureUntilMs),
+            tenureUntilMs,
             incarnation: agent.status?.incarnation,
         });
         this.metrics.increment("tasks.placed", tasks.length);
