Keep the estimate of an endpoint's clock when a response is read late

Cause: a response counts as an estimate of the endpoint's clock at the time at which the agent reads it. An agent that had stalled for 3 s read the response of a poll from before the stall, so its estimate fell from about 3700 ms to 795 ms. An order from before the stall then seemed fresh, and its start went to the next incarnation of the endpoint, whose clock had begun anew.

Trace before:

760 agent 4 stalls for 2989 ms 882 entry 1 orders the task at agent 4, lease until 1343 1424 the caller's connection ends; entry 1 cancels the job at 1599 2724 the job is submitted to entry 3 3423 it runs at endpoint-3, until 4389 3789 agent 4 reads the order of 882 with an estimate of 795 3791 second run begins at endpoint-4, which has restarted meanwhile

Both bounds hold, because no clock runs slower than 0.98, so the higher one is kept.

Ruled out: that the order names another incarnation; the agent had not found the next one yet.

--- /dev/null
+++ b/src/agent/leased/EndpointClockEstimate.test.ts
@@ -0,0 +1,35 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { VirtualClock } from "../../common/VirtualClock.js";
+import { EndpointClockEstimate } from "./EndpointClockEstimate.js";
+
+describe("EndpointClockEstimate", () => {
+    // A stalled agent then accepted an order of 3 s ago and started it in the next incarnation of its endpoint.
+    it("guards against an estimate that a response from before a stall sets back", () => {
+        const clock = new VirtualClock();
+        const estimate = new EndpointClockEstimate(clock);
+        estimate.observe(1000);
+        clock.advance(3000);
+        estimate.observe(1040);
+        assert.equal(estimate.now(), 3940);
+    });
+
+    it("guards against an estimate that stays behind after a response that is read in time", () => {
+        const clock = new VirtualClock();
+        const estimate = new EndpointClockEstimate(clock);
+        estimate.observe(1000);
+        clock.advance(3000);
+        estimate.observe(4000);
+        assert.equal(estimate.now(), 4000);
+    });
+
+    it("guards against judging an incarnation by the clock of an earlier one", () => {
+        const clock = new VirtualClock();
+        const estimate = new EndpointClockEstimate(clock);
+        estimate.observe(5000);
+        estimate.reset();
+        assert.equal(estimate.now(), undefined);
+        estimate.observe(7);
+        assert.equal(estimate.now(), 7);
+    });
+});
--- a/src/agent/leased/EndpointClockEstimate.ts
+++ b/src/agent/leased/EndpointClockEstimate.ts
@@ -7,9 +7,12 @@
 
     constructor(private readonly clock: Clock) {}
 
-    /** Updates the estimate with the clock of a response. */
+    /**
+     * Updates the estimate with the clock of a response. A late agent reads a response long after it was sent, so one that
+     * is behind the estimate does not set it back.
+     */
     public observe(clockMs: number | undefined): void {
-        if (clockMs !== undefined) {
+        if (clockMs !== undefined && clockMs > (this.now() ?? Number.NEGATIVE_INFINITY)) {
             this.sample = { clockMs, at: this.clock.now() };
         }
     }
--- a/src/emulator/simulateFaults.test.ts
+++ b/src/emulator/simulateFaults.test.ts
@@ -31,9 +31,13 @@
 
 /**
  * Regression, seed 30026: an entry that had stalled started a job whose caller had disconnected meanwhile, when entries
- * did not check the connection before they accept a job. The other seeds guard against the same in other orders of events.
+ * did not check the connection before they accept a job. Seeds 30001 and 30002 guard against the same in other orders of
+ * events.
+ *
+ * Regression, seed 61020: an agent that had stalled for 3 s took the response of a poll from before it for a new one, so an
+ * order from before it seemed fresh, and was started in the next incarnation of its endpoint.
  */
-const STALLS_SEEDS = [30026, 30001, 30002];
+const STALLS_SEEDS = [30026, 30001, 30002, 61020];
 
 const CASES = [
     ...USUAL_SEEDS.map(seed => ({ profile: "usual", seed }) as const),
