Set the estimate of a clock back only when it is proved to be ahead

Cause: a lower clock in a response has two causes that were not told apart. It was read late, and the estimate is right, or the clock is behind the estimate.

Change: at the time of the call the clock was not ahead of the response's. If the estimate is ahead of that clock plus the time since the call, it is wrong and is set back.

--- a/src/agent/leased/EndpointClockEstimate.ts
+++ b/src/agent/leased/EndpointClockEstimate.ts
@@ -8,12 +8,19 @@
     constructor(private readonly clock: Clock) {}
 
     /**
-     * Updates the estimate with the clock of a response. A late agent reads a response long after it was sent, so one that
-     * is behind the estimate does not set it back.
+     * Updates the estimate with the clock of the response to a call sent at `sentAt`. A late agent reads a response long
+     * after it was sent, so a lower clock sets the estimate back only if the endpoint's clock cannot have reached the
+     * estimate since the call: it stood still, or is that of another incarnation.
      */
-    public observe(clockMs: number | undefined): void {
-        if (clockMs !== undefined && clockMs > (this.now() ?? Number.NEGATIVE_INFINITY)) {
-            this.sample = { clockMs, at: this.clock.now() };
+    public observe(clockMs: number | undefined, sentAt: number): void {
+        if (clockMs === undefined) {
+            return;
+        }
+        const at = this.clock.now();
+        const estimateMs = this.now();
+        const highestMs = clockMs + at - sentAt;
+        if (estimateMs === undefined || clockMs > estimateMs || highestMs < estimateMs) {
+            this.sample = { clockMs, at };
         }
     }
 
--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -84,7 +84,7 @@
             blockStarts: () => this.waiting.block(),
             watchStops: () => this.checkTimer.fireWithin(CHECK_INTERVAL_MS),
         };
-        const stopCalls = new StopCalls(session);
+        const stopCalls = new StopCalls(session, clock);
         this.orphanedRunStops = new OrphanedRunStops(stopCalls, clock, log);
         this.resolver = new RunResolver(session, this.table, stopCalls, owner, clock, log);
         this.calls = new RunCalls(session, this.table, this.lateStarts, this.resolver, owner, clock, log);
--- a/src/agent/leased/EndpointSession.test.ts
+++ b/src/agent/leased/EndpointSession.test.ts
@@ -298,7 +298,7 @@
             session.handleHeartbeat(REPORT);
             session.handleHeartbeat({ ...REPORT, life: { id: "endpoint", bornMs: 2 } });
             await pass(clock, 20);
-            session.observeClock(1_000_000, REPORT);
+            session.observeClock(1_000_000, 0, REPORT);
             assert.ok((session.clockMs ?? 0) < 1000, `${session.clockMs} ms`);
             session.dispose();
         });
--- a/src/agent/leased/EndpointSession.ts
+++ b/src/agent/leased/EndpointSession.ts
@@ -176,10 +176,13 @@
         this.incarnations.handleDeregistration();
     }
 
-    /** Updates the estimate of the clock from the response to a call that was meant for the incarnation of `report`. */
-    public observeClock(clockMs: number | undefined, report: EndpointReport | undefined): void {
+    /**
+     * Updates the estimate of the clock from the response to a call that was sent at `sentAt` and meant for the
+     * incarnation of `report`.
+     */
+    public observeClock(clockMs: number | undefined, sentAt: number, report: EndpointReport | undefined): void {
         if (report !== undefined && this.incarnations.isCurrent(report)) {
-            this.state.observeClock(clockMs);
+            this.state.observeClock(clockMs, sentAt);
         }
     }
 
--- a/src/agent/leased/IncarnationState.ts
+++ b/src/agent/leased/IncarnationState.ts
@@ -23,9 +23,9 @@
         return this.acknowledgedNumber;
     }
 
-    /** Updates the estimate of the clock with that of a response. */
-    public observeClock(clockMs: number | undefined): void {
-        this.clockEstimate.observe(clockMs);
+    /** Updates the estimate of the clock with that of the response to a call sent at `sentAt`. */
+    public observeClock(clockMs: number | undefined, sentAt: number): void {
+        this.clockEstimate.observe(clockMs, sentAt);
     }
 
     /** Records the clock of a run list. Returns false when a newer list was recorded before. */
--- a/src/agent/leased/PollResponses.ts
+++ b/src/agent/leased/PollResponses.ts
@@ -57,7 +57,7 @@
 
     /** Handles a run list and returns it; undefined when a newer one has been handled before. */
     private handleList(list: RunList, sentAt: number, clockMs: number | undefined): RunList | undefined {
-        this.state.observeClock(clockMs);
+        this.state.observeClock(clockMs, sentAt);
         this.incarnations.confirm();
         this.liveness.recordAnswer(this.incarnations.report);
         if (!this.state.recordList(clockMs)) {
@@ -77,7 +77,7 @@
             }
         }
         if (!isOther && !poll.announced) {
-            this.state.observeClock(clockMs);
+            this.state.observeClock(clockMs, poll.sentAt);
         }
         this.liveness.recordFailedPoll(poll.target, outcome);
         if (outcome === PollOutcome.Fenced) {
--- a/src/agent/leased/RunCalls.ts
+++ b/src/agent/leased/RunCalls.ts
@@ -63,7 +63,9 @@
             timeoutMs: this.startTimeout.timeoutMs,
         });
         this.session.settleRenewal(renewal, response.outcome === StartOutcome.Unreachable);
-        this.session.observeClock(response.clockMs, report);
+        if (response.outcome !== StartOutcome.OtherIncarnation) {
+            this.session.observeClock(response.clockMs, sentAt, report);
+        }
         this.startTimeout.observe(this.clock.now() - sentAt);
         const listed = this.table.isCurrent(run) && run.run === number && run.startedAt !== undefined;
         if (response.outcome === StartOutcome.Unanswered && !listed) {
