--- a/scripts/runSoak.mjs
+++ b/scripts/runSoak.mjs
@@ -2,6 +2,7 @@
 // SOAK_PROFILES. Appends each result to target/soak/runs.jsonl and exits with 1 if a run violated an invariant.
 import { appendFileSync, mkdirSync } from "node:fs";
 import { loadavg } from "node:os";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { runSoak } from "../platform/soak/runSoak.ts";
 import { SOAK_PROFILES } from "../platform/soak/SOAK_PROFILES.ts";
 
@@ -13,9 +14,13 @@
 }
 const OUTPUT_DIRECTORY = "target/soak";
 mkdirSync(OUTPUT_DIRECTORY, { recursive: true });
+/** Delay of the event loop of this process, in which the store, the workers and the proxies run. */
+const lag = monitorEventLoopDelay();
+lag.enable();
 let failed = 0;
 for (let seed = first; seed < first + count; seed += 1) {
     const directory = `${OUTPUT_DIRECTORY}/${seed}`;
+    lag.reset();
     const result = await runSoak({
         seed,
         entries,
@@ -26,7 +31,8 @@
         profile,
         directory,
     });
-    const { broken, history, ...figures } = result;
+    const { broken, history, ...counts } = result;
+    const figures = { ...counts, maxLagMs: Math.round(lag.max / 1_000_000) };
     failed += broken.length > 0 ? 1 : 0;
     appendFileSync(
         `${OUTPUT_DIRECTORY}/runs.jsonl`,
@@ -39,6 +45,7 @@
             profile: profileName,
             load: loadavg()[0],
             ...result,
+            maxLagMs: figures.maxLagMs,
         }) + "\n",
     );
     console.log(`seed ${seed} ${broken.length === 0 ? "kept" : "BROKEN"} ${JSON.stringify(figures)}`);
