--- a/src/agent/leased/EndpointLease.ts
+++ b/src/agent/leased/EndpointLease.ts
@@ -35,7 +35,7 @@
      * which it renews the lease, with its record; undefined when it renews nothing.
      */
     public beginPoll(clockMs: number | undefined): BegunRenewal | undefined {
-        if (clockMs === undefined || !this.isRenewed) {
+        if (clockMs === undefined || !this.pollsRenew) {
             return undefined;
         }
         const untilMs = Math.min(clockMs + LEASE_TIMES.ENDPOINT_LEASE_MS, this.limitMs);
@@ -52,17 +52,17 @@
         return { untilMs, renewal: this.renewals.begin(leaseMs) };
     }
 
-    /** Records the end of the call with a renewal. */
+    /** Records the end of a call with a renewal; `refused` says whether its connection was refused. */
     public settle(renewal: LeaseRenewal, refused: boolean): void {
         this.renewals.settle(renewal, refused);
     }
 
     /**
-     * Whether polls renew the lease. Until a list has shown which runs are there, they may be those of an earlier agent
-     * process, or have been returned. An endpoint that leaves and no longer answers gets no renewals, so that its last
-     * lease expires.
+     * Whether polls renew the lease. They do not while the endpoint is lost: until it answers with a run list, its runs
+     * may be those of an earlier agent process, or of tasks that were returned to their entries. Nor do they when the
+     * endpoint has deregistered and the last poll failed, so that the lease expires.
      */
-    private get isRenewed(): boolean {
+    private get pollsRenew(): boolean {
         return !this.liveness.isLost && !(this.incarnations.isLeaving && this.liveness.hasFailedPolls);
     }
 }
--- a/src/agent/leased/EndpointRuns.ts
+++ b/src/agent/leased/EndpointRuns.ts
@@ -98,7 +98,7 @@
             this.handleList(list, sentAt);
         });
         session.onLost(({ reason, replaced }) => {
-            this.endAllRuns(reason, replaced);
+            this.handleLoss(reason, replaced);
         });
     }
 
@@ -126,10 +126,10 @@
     }
 
     /**
-     * Whether there are runs of `owner` that do not limit the endpoint lease yet. Those of an incarnation that has ended
-     * limit that of the next one only if a list shows them there.
+     * Whether runs of `owner` set no limit to the endpoint lease: their `leaseLimitMs` is infinite. Runs whose endpoint
+     * was lost do not count; they are being stopped, and `UnwantedRuns` limits the lease when a list shows them.
      */
-    public hasUnlimited(owner: string): boolean {
+    public hasRunsWithoutLeaseLimit(owner: string): boolean {
         const unlimited = this.table.all.filter(run => run.leaseLimitMs === Number.POSITIVE_INFINITY);
         return unlimited.some(run => run.owner === owner && !run.endpointLost);
     }
@@ -214,10 +214,11 @@
     }
 
     /**
-     * Ends all runs. Those that may have been started in the incarnation that has replaced theirs are first stopped
-     * there. Starts that are not answered yet may reach the next incarnation, so their responses decide.
+     * Handles the end of an incarnation or of its endpoint lease. When another incarnation has replaced it, each run
+     * that may have begun is stopped there, and stays until it is ruled out. Otherwise a run whose start is not
+     * answered yet stays until the response arrives. All other runs are finished.
      */
-    private endAllRuns(reason: string, replaced: boolean): void {
+    private handleLoss(reason: string, replaced: boolean): void {
         this.slowdown.reset();
         this.orphanedRunStops.reset();
         this.unwanted.reset();
--- a/src/agent/leased/EntryLink.ts
+++ b/src/agent/leased/EntryLink.ts
@@ -70,8 +70,9 @@
     }
 
     /**
-     * Renews the entry lease to `untilMs` on the clock of an incarnation of the endpoint; ignored for another one. A
-     * renewal that arrives after the time that it names stops the runs of the entry.
+     * Extends the entry lease to `untilMs` on the endpoint's clock; an end before the current one has no effect.
+     * Ignored when `incarnation` names another incarnation than the current one. If the lease has expired even after
+     * this, the runs of the entry are stopped.
      */
     public renewLease(untilMs: number, incarnation: string | undefined): void {
         if (this.isCurrent(incarnation)) {
@@ -150,7 +151,7 @@
 
     /** Stops the runs that the entry lease no longer covers, whatever has ended it. */
     private checkLease(): void {
-        if (!this.hasLease && this.runs.hasUnlimited(this.owner)) {
+        if (!this.hasLease && this.runs.hasRunsWithoutLeaseLimit(this.owner)) {
             const { clockMs } = this.session;
             this.log.write(LeaseEvent.EntryLeaseExpired, { owner: this.owner, untilMs: this.leaseUntilMs, clockMs });
             this.runs.abortOwner(this.owner, "entry lease expired", this.wantedUntilMs);
--- a/src/agent/leased/EntryReports.ts
+++ b/src/agent/leased/EntryReports.ts
@@ -14,9 +14,9 @@
 const REPORT_DELAY_MS = 4;
 
 /**
- * Minimum interval between two reports to one entry, multiplied by the number of attached entries: an agent sends at
- * most 50 reports a second in all, however many entries there are. Finished runs, and whether orders are accepted, are
- * reported at once.
+ * Minimum interval between two reports of a changed status to one entry, multiplied by the number of attached entries:
+ * an agent sends at most 50 of them a second in all, however many entries there are. The limit does not hold for
+ * heartbeats, reports with finished runs, and changes of the incarnation or of whether orders are accepted.
  */
 const REPORT_SPACING_MS = 20;
 
--- a/src/agent/leased/IncarnationTracker.ts
+++ b/src/agent/leased/IncarnationTracker.ts
@@ -43,7 +43,11 @@
         private readonly log: Log,
     ) {}
 
-    /** Last heartbeat of the current incarnation; undefined before the first one and after its end. */
+    /**
+     * Last heartbeat of the current incarnation, or what stands for it until there is one: the report that an earlier
+     * agent process has stored, or, when a new incarnation answers a poll first, the report of the one before with the
+     * new start time. Undefined while no endpoint is known.
+     */
     public get report(): EndpointReport | undefined {
         return this.currentReport;
     }
--- a/src/agent/leased/LeaseRenewals.ts
+++ b/src/agent/leased/LeaseRenewals.ts
@@ -11,8 +11,8 @@
 const NO_RENEWAL: LeaseRenewal = { sentAt: Number.NEGATIVE_INFINITY, expiredAt: Number.NEGATIVE_INFINITY };
 
 /**
- * Calls that renew the endpoint lease: polls, and starts, whose time limit holds for everything at the endpoint. One that
- * is not answered may have renewed it; one that is refused has not.
+ * Calls that renew the endpoint lease, which covers all runs at the endpoint: polls, and starts, which renew it until
+ * their time limit. A call without a response may have renewed the lease; a call whose connection was refused has not.
  */
 export class LeaseRenewals {
     private readonly pending = new Set<LeaseRenewal>();
@@ -39,7 +39,7 @@
         return renewal;
     }
 
-    /** Records the end of the call with a renewal. */
+    /** Records the end of a call with a renewal; `refused` says whether its connection was refused. */
     public settle(renewal: LeaseRenewal, refused: boolean): void {
         this.pending.delete(renewal);
         if (!refused) {
--- a/src/agent/leased/UnlistedEnds.ts
+++ b/src/agent/leased/UnlistedEnds.ts
@@ -26,9 +26,10 @@
     ) {}
 
     /**
-     * Finishes a run that no list of the current incarnation shows to be over. A task that has an unanswered start stays
-     * here until a stop and a list rule the start out in the incarnation that answers them: an answer may be of the
-     * next one, which executes the start as well. Where the endpoint is lost it stays for `MAX_LOST_MS` at most.
+     * Finishes a run that no list of the current incarnation shows to be over. While a start of the task is unanswered,
+     * the next incarnation may still execute it. The run is therefore stopped first, and stays until an accepted stop
+     * and a run list rule that start out. A lost endpoint sends no list, so a call of this method `MAX_LOST_MS` or more
+     * after the first one finishes the run without it.
      */
     public finish(run: OrderedRun, result: RunResult, reason: string): void {
         if (!this.lateStarts.has(run.task) || this.session.report === undefined) {
--- a/src/emulator/stalledEntry.test.ts
+++ b/src/emulator/stalledEntry.test.ts
@@ -72,8 +72,8 @@
 // Case 1 of docs/incidents/2026-12-04-two-owners.md: two runs of a task at once, at two endpoints in two failure domains,
 // started by two agents, with no lost or late call.
 describe("an entry that stalls while its caller submits the job again at another entry (issue 25, case 1)", () => {
-    // The agent stops the run when the entry lease ends. The entry reads that together with fresh reports of agents when
-    // it resumes, one turn of its event loop before it is told that the caller has disconnected.
+    // The agent stops the run when the entry lease ends. When the entry resumes, it reads the end of that run and fresh
+    // load reports one turn of its event loop before the end of the caller's connection is reported to it.
     it("guards against a second run, at another endpoint, of a task that came back during the stall", async () => {
         const records = await simulateStalledEntry(WARMUP_MS - 20);
         assert.equal(findOverlappingRuns(records), undefined);
--- a/src/entry/leased/AgentChannels.ts
+++ b/src/entry/leased/AgentChannels.ts
@@ -216,7 +216,10 @@
     return view.status !== undefined && view.reportAgeMs(now) > limitMs;
 }
 
-/** Run orders renew the entry lease as well, to the same time as a renewal that could have been sent with them. */
+/**
+ * Whether the entry lease at an agent is due for renewal at `horizon`, in milliseconds of the entry's clock. Run orders
+ * count as renewals: they renew the lease to the same time as a renewal that could have been sent with them.
+ */
 function isRenewalDue(view: AgentView, horizon: number): boolean {
     const intervalMs = view.tasks.size > 0
         ? LEASE_TIMES.ENTRY_LEASE_RENEWAL_MS
--- a/src/entry/leased/AgentView.ts
+++ b/src/entry/leased/AgentView.ts
@@ -97,7 +97,11 @@
         return this.freeCapacity;
     }
 
-    /** Reserves capacity for a task of the run order whose number the next call of `nextRunOrder` returns. */
+    /**
+     * Reserves capacity for a task until a report includes the run order with the next number. `TaskPlacer` reserves
+     * for all batches of a job before it sends the first one, so the reservations of a later batch to the same agent
+     * have the number of the first.
+     */
     public reserve(need: Resources): void {
         this.unreportedOrders.push({ number: this.lastRunOrder + 1, need });
         this.freeCapacity = addResources(this.freeCapacity, need, -1);
--- a/src/entry/leased/InputHorizon.ts
+++ b/src/entry/leased/InputHorizon.ts
@@ -52,7 +52,7 @@
     private readonly advances = new Emitter<undefined>();
     /** Times of the last checks, the oldest first, of which not everything that had arrived may have been reported. */
     private readonly unreported: Mark[] = [];
-    /** Without callers, nothing of theirs is unread. */
+    /** The horizon on both clocks. It starts at the creation of this object, before any caller is connected. */
     private reported: Mark;
     /** Horizon at the last `onAdvance`. */
     private announcedAt: number;
@@ -99,7 +99,11 @@
         return this.clock.schedule(delayMs, () => this.check());
     }
 
-    /** Runs in the timers phase of a turn. */
+    /**
+     * Performs a check, in the timers phase of a turn: advances the horizon to the time of the check before the last
+     * `CHECKS_UNTIL_REPORTED`, schedules the next check, and announces the horizon if it has advanced far enough.
+     * Checks run in consecutive turns until the horizon has reached the first check of the interval.
+     */
     private check(): void {
         const now = this.clock.now();
         this.recordLateness(now, this.ageMs);
--- a/src/entry/leased/lateProcesses.test.ts
+++ b/src/entry/leased/lateProcesses.test.ts
@@ -110,7 +110,8 @@
 }
 
 /**
- * Runs a task of an entry and an agent whose turns last for up to `mostMs`, from its acceptance on. Returns its runs.
+ * Runs a task in a deployment of one entry and one agent. Each turn of their event loops lasts for a random time of up
+ * to `mostMs`, from the start of the simulation. Returns the runs of the task.
  */
 async function simulateSlowTurns(mostMs: number, seed: number): Promise<readonly RunRecord[]> {
     const random = new SeededRandom(seed);
@@ -130,7 +131,8 @@
     return deployment.records;
 }
 
-// The first run lived on while the entry, which had not read yet that its caller had left, renewed its lease.
+// An entry lease begins at the time up to which the entry has read its input, so an entry that has not read yet that a
+// caller has disconnected does not prolong the run of its job.
 describe("processes that are always late", () => {
     for (const [name, cases] of Object.entries(CASES)) {
         it(`guards against a run that outlives its caller until the job is submitted again: ${name}`, async () => {
