--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -17,11 +17,21 @@
     const recorder = new Recorder();
     const withTrouble = process.env.TROUBLE !== "0";
     const closers = [];
+    let finished = false;
     const finish = async (code, verdict) => {
+        if (finished) {
+            return;
+        }
+        finished = true;
         await Promise.all(closers.map(close => close()));
         recorder.save(join(directory, "record.txt"), [`disruption: ${withTrouble ? "yes" : "no"}`, ...verdict]);
         process.exit(code);
     };
+    const fail = error =>
+        void finish(CANNOT_RUN, [`cannot run: ${error instanceof Error ? error.stack : String(error)}`]);
+    // A failure of a stand-in must not look like a broken rule.
+    process.on("uncaughtException", fail);
+    process.on("unhandledRejection", fail);
     const limit = setTimeout(() => void finish(CANNOT_RUN, ["cannot run: it takes too long"]), LIMIT_MS);
     try {
         const { broken, seen } = await play(recorder, withTrouble, close => closers.push(close));
@@ -34,7 +44,7 @@
     }
     catch (error) {
         clearTimeout(limit);
-        await finish(CANNOT_RUN, [`cannot run: ${error instanceof Error ? error.stack : String(error)}`]);
+        fail(error);
     }
 }
 
